Simulate whole sites by seed, with faults and an oracle outside the nodes

Found on the way: g++ 12 destroys a capturing lambda twice when it is a temporary in a co_await expression (address sanitizer, edges' change); such lambdas have names now. Not shown yet: that the oracle notices broken mechanisms.

--- a/src/hcore/desired_change.cc
+++ b/src/hcore/desired_change.cc
@@ -129,20 +129,22 @@
       // The joint step is over once it is in force at both majorities.
       if (!self->widely_in_force(content)) continue;
       auto expected = content.revision;
-      co_await self->change_edges([expected](desired::record& next) {
+      std::function<bool(desired::record&)> end_joint = [expected](desired::record& next) {
         if (next.revision < expected || next.edges_before.empty()) return false;
         next.edges_before.clear();
         return true;
-      });
+      };
+      co_await self->change_edges(end_joint);
       continue;
     }
     if (wanted == content.edges) continue;
-    co_await self->change_edges([wanted](desired::record& next) {
+    std::function<bool(desired::record&)> begin_joint = [wanted](desired::record& next) {
       if (!next.edges_before.empty() || next.edges == wanted) return false;
       next.edges_before = next.edges;
       next.edges = wanted;
       return true;
-    });
+    };
+    co_await self->change_edges(begin_joint);
   }
 }
 
--- a/src/hproxy/calls.cc
+++ b/src/hproxy/calls.cc
@@ -111,7 +111,8 @@
       self->refused("no engine");
       // "no" would be a false word if the receipts can't be read, or if this key has run with another body.
       bool certain = known.read && !begun_before;
-      gateway::drop(out, 503, "no engine of the application can take calls", certain ? "no" : "unknown", 1);
+      gateway::drop(out, 503, "no engine of the application can take calls", certain ? "no" : "unknown", 1,
+                    {{"visit", subject.visit}});
       co_return;
     }
     auto begun = co_await self->book.begin_call(record, first, self->runtime.now() + ledger_patience);
@@ -176,7 +177,7 @@
     }
   }
   self->refused("engines failed");
-  gateway::drop(out, 503, "no engine took the call", "no", 1);
+  gateway::drop(out, 503, "no engine took the call", "no", 1, {{"visit", subject.visit}});
 }
 
 // A later visit with the same key: the stored answer, or what can honestly be said.
--- a/src/hproxy/turns.cc
+++ b/src/hproxy/turns.cc
@@ -84,7 +84,8 @@
       co_return;
     case ledger::open_end::spent:
       self->refused("budget spent");
-      gateway::drop(out, 402, "the program's budget is spent", "no", 0, {{"spent", opened.now.spent}});
+      gateway::drop(out, 402, "the program's budget is spent", "no", 0,
+                    {{"spent", opened.now.spent}, {"visit", visit.visit}});
       co_return;
     case ledger::open_end::ended:
       co_await self->replay(visit, *opened.before, begun + 2 * ledger_patience);
@@ -208,7 +209,7 @@
     refused("not finished");
     // Only where no engine has heard of the turn is it certain that nothing ran.
     gateway::drop(visit.out, 503, fields.value("reason", how), done.sent_on ? "unknown" : "no", 1,
-                  {{"turn", visit.turn}});
+                  {{"turn", visit.turn}, {"visit", visit.visit}});
     return;
   }
   if (!done.started)
--- /dev/null
+++ b/src/hsim/faults.h
@@ -0,0 +1,21 @@
+// Internal to hsim: the faults that a scenario draws.
+#pragma once
+#include "hsim/scenario.h"
+
+namespace hsim {
+
+class faults {
+ public:
+  faults(site& target, oracle& judge, std::vector<std::string>& story);
+  ~faults();
+  // Begins one fault of this kind now; it ends by itself within some seconds.
+  void begin(const std::string& kind);
+  // Ends what still goes on: all is healed, woken and booted.
+  void end_all();
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace hsim
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -1,1 +1,88 @@
-int main() { return 0; }
+#include <absl/flags/flag.h>
+#include <stdio.h>
+
+#include "hsim/scenario.h"
+#include "logging/logging.h"
+#include "runtime/breaks.h"
+#include "settings/settings.h"
+
+ABSL_FLAG(std::string, seeds, "1..1", "seeds to run, as A..B");
+ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
+ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
+ABSL_FLAG(double, seconds, 30, "virtual seconds of faults");
+ABSL_FLAG(double, visits_per_second, 5, "programs begun each virtual second");
+ABSL_FLAG(bool, story, false, "print each run's faults and counts");
+ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
+
+using namespace herontally;
+
+static const char* usage_text =
+    "hsim: runs whole sites in virtual time, from seeds, with faults, and checks the never-rules\n\n"
+    "Usage: hsim --seeds A..B [--only KIND,...] [--faults N] [--seconds N] [--visits_per_second N] "
+    "[--story]\n\n"
+    "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk total\n"
+    "A failing seed prints the command that replays it. Exit codes: 0 all well, 1 a rule was broken, 2 bad "
+    "usage.\n\n"
+    "Example:\n  hsim --seeds 1..100\n";
+
+int main(int count, char** words) {
+  auto rest = settings::parse_flags(count, words, usage_text);
+  if (!rest.empty()) settings::end_with("hsim", {rest[0], "is not expected"});
+  std::string seeds = absl::GetFlag(FLAGS_seeds);
+  auto dots = seeds.find("..");
+  bool digits = dots != std::string::npos && dots > 0 && dots + 2 < seeds.size() &&
+                seeds.find_first_not_of("0123456789.") == std::string::npos;
+  if (!digits) settings::end_with("hsim", {"--seeds", "must be A..B"});
+  std::uint64_t first = std::stoull(seeds.substr(0, dots)), last = std::stoull(seeds.substr(dots + 2));
+  hsim::run_options choice;
+  std::string only = absl::GetFlag(FLAGS_only);
+  for (std::size_t begin = 0; begin < only.size();) {
+    auto end = std::min(only.find(',', begin), only.size());
+    choice.only.push_back(only.substr(begin, end - begin));
+    auto& kinds = hsim::fault_kinds();
+    if (std::find(kinds.begin(), kinds.end(), choice.only.back()) == kinds.end())
+      settings::end_with("hsim", {"--only", "names no kind of fault: " + choice.only.back()});
+    begin = end + 1;
+  }
+  choice.faults = static_cast<int>(absl::GetFlag(FLAGS_faults));
+  choice.storm_seconds = absl::GetFlag(FLAGS_seconds);
+  choice.visits_per_second = absl::GetFlag(FLAGS_visits_per_second);
+  std::string broken_one = absl::GetFlag(FLAGS_broken);
+#ifdef HERONTALLY_BREAKS
+  if (!broken_one.empty()) breaks().insert(broken_one);
+#else
+  if (!broken_one.empty()) settings::end_with("hsim", {"--broken", "is only known to the build made for it"});
+#endif
+  logging::start("hsim", "OFF");
+  std::int64_t failed = 0, complete = 0, calls = 0;
+  double moved = 0;
+  for (auto seed = first; seed <= last; ++seed) {
+    choice.seed = seed;
+    auto report = hsim::run_scenario(choice);
+    complete += report.counts.value("complete", std::int64_t{0});
+    calls += report.counts.value("calls", std::int64_t{0});
+    moved += report.counts.value("bytes_moved", 0.0);
+    if (absl::GetFlag(FLAGS_story)) {
+      for (auto& line : report.story) printf("  %s\n", line.c_str());
+      printf("  %s\n", report.counts.dump().c_str());
+    }
+    if (report.violations.empty()) continue;
+    ++failed;
+    printf(
+        "seed %llu breaks %zu rules; replay: hsim --seeds %llu..%llu --faults %d --seconds %g "
+        "--visits_per_second %g%s%s --story\n",
+        static_cast<unsigned long long>(seed), report.violations.size(),
+        static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed), choice.faults,
+        choice.storm_seconds, choice.visits_per_second, only.empty() ? "" : " --only ", only.c_str());
+    std::size_t shown = 0;
+    for (auto& each : report.violations)
+      if (shown++ < 5)
+        printf("  %.3f s %s: %s\n", static_cast<double>(each.when) / 1e6, each.rule.c_str(),
+               each.what.c_str());
+    fflush(stdout);
+  }
+  printf("%llu seeds, %lld with broken rules; %lld turns complete, %lld calls, %.0f bytes of cache moved\n",
+         static_cast<unsigned long long>(last - first + 1), static_cast<long long>(failed),
+         static_cast<long long>(complete), static_cast<long long>(calls), moved);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/src/hsim/scenario.h
@@ -0,0 +1,27 @@
+// One run from one seed: a site under traffic, faults drawn from the seed, then peace, then the oracle's
+// word.
+#pragma once
+#include "hsim/site.h"
+
+namespace hsim {
+
+struct run_options {
+  std::uint64_t seed = 1;
+  std::vector<std::string> only;  // kinds of faults; empty: all
+  int faults = 8;
+  double storm_seconds = 30, visits_per_second = 5;
+  bool verbose = false;
+  site_options site;
+};
+
+struct run_report {
+  std::uint64_t seed = 0;
+  std::vector<violation> violations;
+  std::vector<std::string> story;  // the faults, as they came
+  nlohmann::json counts;
+};
+
+const std::vector<std::string>& fault_kinds();
+run_report run_scenario(const run_options& choice);
+
+}  // namespace hsim
--- /dev/null
+++ b/src/hsim/site_state.h
@@ -0,0 +1,44 @@
+// Internal to hsim's site.
+#pragma once
+#include "hagent/node.h"
+#include "hcore/node.h"
+#include "hproxy/node.h"
+#include "hsim/site.h"
+#include "hstore/node.h"
+#include "simplatform/node.h"
+
+namespace hsim {
+
+namespace ht = herontally;
+namespace rt = herontally::runtime;
+using json = nlohmann::json;
+
+struct place {
+  std::string name, role, zone, inner, http, agent;
+  ht::simengine::options engine;
+  ht::logging::journal journal;
+};
+
+struct site::state {
+  world& where;
+  oracle& judge;
+  site_options choice;
+  std::map<std::string, place> places;
+  std::vector<std::string> seeds;
+  json engines = json::array();
+  json document_now;
+  int next_address = 1, next_engine = 1;
+  std::int64_t next_marker = 1;
+  std::set<std::string> evacuated;
+  state(world& world_of, oracle& oracle_of, site_options given)
+      : where(world_of), judge(oracle_of), choice(given) {}
+
+  place& make(const std::string& role, const std::string& name, const std::string& zone);
+  void show_engines();
+  template <class Node>
+  std::shared_ptr<Node> start(const place& spot);
+};
+
+constexpr const char* operator_token = "operator-token";
+
+}  // namespace hsim
--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -31,7 +31,8 @@
     held[{from, to}].push_back(arrive);
     return;
   }
-  schedule(std::max(latency(), not_before - now), to, to_life, work);
+  // An ordered stream has chosen its moment of arrival already.
+  schedule(not_before > now ? not_before - now : latency(), to, to_life, work);
 }
 
 struct message_call {
--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -91,13 +91,14 @@
 task<bool> finish_move(proposer group, proposer catalog, microseconds deadline) {
   auto current = co_await agreed_view(catalog, group.current().group, deadline);
   if (!current) co_return false;
+  std::vector<voter_place> nobody;
   if (current->before.empty()) {
     // Chosen, but perhaps not yet installed by a quorum: installing again is harmless.
     if (current->number > group.current().number)
-      co_return co_await install_everywhere(group, *current, {}, deadline);
+      co_return co_await install_everywhere(group, *current, nobody, deadline);
     co_return true;
   }
-  bool installed = co_await install_everywhere(group, *current, {}, deadline);
+  bool installed = co_await install_everywhere(group, *current, nobody, deadline);
   if (!installed) co_return false;
   bool filled = co_await fill(group, *current, deadline);
   if (!filled) co_return false;
--- a/src/simcaller/load.cc
+++ b/src/simcaller/load.cc
@@ -93,6 +93,13 @@
     bool complete = false;
     // A visitor comes back when it is told to, a few times.
     for (int attempt = 0; attempt < 4 && !complete; ++attempt) {
+      if (here.eyes.begin) {
+        seen_turn asked;
+        asked.program = name;
+        asked.turn = turn;
+        asked.prompt = prompt;
+        here.eyes.begin(asked);
+      }
       auto seen = co_await take_turn(here.runtime, here.door(), here.kind.partner, name, turn, prompt, 64,
                                      here.choice.patience_seconds);
       here.note(seen);
--- a/src/simcaller/load.h
+++ b/src/simcaller/load.h
@@ -20,16 +20,17 @@
 struct seen_turn {
   std::string partner, program, turn, prompt, text, end, door;
   std::int64_t status = 0, pieces = 0, tokens = 0;
-  std::string ran, odd;  // odd: what was wrong with the stream itself
+  std::string ran, odd, visit;  // odd: what was wrong with the stream itself
   double first_piece_seconds = -1, seconds = 0;
   bool stored = false;
 };
 struct seen_call {
-  std::string partner, route, key, ran, code, receipt;
+  std::string partner, route, key, ran, code, receipt, visit;
   std::int64_t status = 0;  // 0: no answer
   double seconds = 0;
 };
 struct watcher {
+  std::function<void(const seen_turn&)> begin;  // before the visit is sent; only what is asked is filled in
   std::function<void(const seen_turn&)> turn;
   std::function<void(const seen_call&)> call;
 };
--- a/src/simcaller/visits.cc
+++ b/src/simcaller/visits.cc
@@ -72,6 +72,7 @@
       if (seen.status != 200) {
         auto body = json::parse(buffer, nullptr, false);
         seen.ran = body.is_object() ? body.value("ran", "") : "";
+        seen.visit = body.is_object() ? body.value("visit", "") : "";
         bool come_back = body.is_object() && (seen.status != 503 && seen.status != 429);
         if (!come_back && body.is_object() && !body.contains("retry_after_seconds"))
           seen.odd = "no word when to come back";
@@ -113,6 +114,7 @@
     if (document.is_object()) {
       seen.ran = document.value("ran", "");
       seen.code = document.value("code", "");
+      seen.visit = document.value("visit", "");
     }
   }
   seen.seconds = static_cast<double>(runtime.now() - begun) / second;
--- a/src/simengine/model.cc
+++ b/src/simengine/model.cc
@@ -117,8 +117,9 @@
   identity.shared_tokens = cache.value("shared_tokens", std::size_t{0});
   identity.program = cache.value("program", "");
   auto hashes = prefix::block_hashes(identity, prompt);
+  std::string program = cache.value("program", ""), visit = body.value("request_id", "");
   if (self->watcher)
-    self->watcher({"turn", cache.value("program", ""), body.value("request_id", ""), prompt});
+    self->watcher({"turn", program, visit, prompt, {}, {}, self->running + self->waiting + 1});
   co_await self->take_place();
   // However this turn ends, its place is given back.
   std::shared_ptr<void> place(nullptr, [self](void*) { self->leave_place(); });
@@ -127,6 +128,10 @@
   if (transfer.contains("remote_host") && local < hashes.size())
     moved = co_await self->pull(transfer, hashes);
   std::size_t held = self->leading(hashes);
+  if (self->watcher) {
+    auto edge = hashes.begin() + static_cast<std::ptrdiff_t>(held);
+    self->watcher({"hit", program, visit, prompt, {hashes.begin(), edge}, {edge, hashes.end()}, 0});
+  }
   auto computed =
       static_cast<std::int64_t>(prompt.size()) - static_cast<std::int64_t>(held) * self->choice.block_tokens;
   // One prefill after the other: simultaneous ones slow each other.
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -141,7 +141,8 @@
                   {"by", self->choice.name},
                   {"code", ledger::digest_of(key + visit.body).substr(0, 16)}};
   self->journal.count("herontally_engine_calls_total");
-  if (self->watcher) self->watcher({"call", key, visit.headers["x-request-id"], {}});
+  if (self->watcher)
+    self->watcher({"call", key, visit.headers["x-request-id"], {}, {}, {}, self->running + self->waiting});
   self->leave_place();
   // The work is done; only its answer vanishes.
   if (self->lose_answers) {
--- a/src/simengine/node.h
+++ b/src/simengine/node.h
@@ -15,8 +15,11 @@
 
 // One completed or begun piece of work, for those who check what ran.
 struct run {
-  std::string what, key, visit;  // "turn", "call"
+  std::string what, key, visit;  // "turn", "call", "hit"; a turn's key is its program
   std::vector<std::int64_t> prompt;
+  std::vector<std::string> hashes;    // of a hit: the leading blocks that were not computed
+  std::vector<std::string> computed;  // and those that were
+  std::int64_t in_flight = 0;
 };
 
 // The text that a model gives: a function of the tokens before it alone, so that anybody can check it.
--- a/src/simplatform/node.cc
+++ b/src/simplatform/node.cc
@@ -16,6 +16,7 @@
   logging::journal journal;
   json shown;
   std::map<std::string, bool> ready;
+  std::function<void(const json&)> watcher;
 
   state(runtime::handle handle, options given, logging::journal lines)
       : runtime(std::move(handle)),
@@ -77,6 +78,7 @@
     : state_(std::make_shared<state>(std::move(runtime), std::move(choice), std::move(journal))) {}
 node::~node() = default;
 void node::set_engines(json engines) { state_->set(std::move(engines)); }
+void node::on_shown(std::function<void(const json&)> watcher) { state_->watcher = std::move(watcher); }
 const json& node::engines() const { return state_->choice.engines; }
 
 task<std::optional<std::string>> node::start() {
--- a/src/simplatform/node.h
+++ b/src/simplatform/node.h
@@ -21,6 +21,8 @@
   // Shown to those who ask only after the usual delay.
   void set_engines(nlohmann::json engines);
   const nlohmann::json& engines() const;
+  // Called with each list that was given to somebody.
+  void on_shown(std::function<void(const nlohmann::json&)> watcher);
 
  private:
   struct state;
