--- a/src/desired/state.cc
+++ b/src/desired/state.cc
@@ -99,6 +99,7 @@
   state out;
   out.revision = content.revision;
   out.version = content.version;
+  out.edges = content.edges;
   json shared = content.document.value("shared", json::object());
   out.evacuated_zones = shared.value("evacuated_zones", out.evacuated_zones);
   out.retiring_storage = shared.value("retiring_storage", out.retiring_storage);
--- a/src/hagent/serve.cc
+++ b/src/hagent/serve.cc
@@ -25,7 +25,8 @@
   if (!from_proxy) co_return receipt;
   std::vector<wire::member> useful;
   for (auto& each : self->known.all())
-    if (each.role == "hstore" || each.role == "hproxy") useful.push_back(each);
+    if (each.role == "hstore" || each.role == "hproxy" || each.name == self->place.name)
+      useful.push_back(each);
   receipt.members = nlohmann::json(useful).dump();
   co_return receipt;
 }
--- a/src/hproxy/node.cc
+++ b/src/hproxy/node.cc
@@ -84,15 +84,30 @@
   auto list = members::from_text(text);
   if (list.empty()) return;
   members = std::move(list);
+  for (auto& each : members)
+    if (each.role == "hagent" && each.inner == place.agent) agent_name = each.name;
+}
+
+// Which doors share the engines' cold caps, and this one's place among them. The agreed list of edges
+// decides, not the membership: doors with different views of who lives would hand out more than the cap
+// between them.
+void node::state::count_doors() {
+  auto& edges = desired->edges;
+  auto own = std::find(edges.begin(), edges.end(), agent_name);
+  if (own != edges.end()) {
+    rank = own - edges.begin();
+    proxies = static_cast<std::int64_t>(edges.size());
+  }
+  // A young site's list is still growing; until it holds all that live, those that live are counted.
   std::vector<std::string> doors;
   for (auto& each : members)
     if (each.role == "hproxy" && (each.status == "alive" || each.status == "suspect"))
       doors.push_back(each.name);
   std::sort(doors.begin(), doors.end());
-  auto own = std::find(doors.begin(), doors.end(), place.name);
-  // Until our own row is known we count as one more door.
-  proxies = static_cast<std::int64_t>(doors.size()) + (own == doors.end() ? 1 : 0);
-  rank = own - doors.begin();
+  bool listed = std::find(doors.begin(), doors.end(), place.name) != doors.end();
+  if (own != edges.end() && doors.size() <= edges.size()) return;
+  rank = std::find(doors.begin(), doors.end(), place.name) - doors.begin();
+  proxies = static_cast<std::int64_t>(std::max(edges.size(), doors.size())) + (listed ? 0 : 1);
 }
 
 void node::state::take_news(const wire::news_receipt& receipt, microseconds asked) {
@@ -115,6 +130,7 @@
       wake_room();
     }
   }
+  if (desired) count_doors();
   // The agent vouches for its knowledge as of some moment before it answered; we count from our question.
   if (receipt.age_milliseconds >= 0 && revision >= receipt.revision)
     fresh_at = std::max(fresh_at, asked - receipt.age_milliseconds * millisecond);
--- a/src/hproxy/node_state.h
+++ b/src/hproxy/node_state.h
@@ -64,6 +64,7 @@
   microseconds fresh_at = -1;
   std::int64_t incarnation = 0;
   bool leaving = false;
+  std::string agent_name;
   std::vector<wire::member> members;
   std::int64_t proxies = 1, rank = 0;
   std::int64_t visits = 0, waiting = 0;
@@ -78,6 +79,7 @@
   bool is_gone(const std::string& owner, std::int64_t life) const;
   void take_news(const wire::news_receipt& receipt, microseconds asked);
   void take_members(const std::string& text);
+  void count_doors();
   void refused(const std::string& reason);
   task<> feed();
   task<> visit(runtime::http_visit request, gateway::writer out);
--- a/src/hsim/faults.cc
+++ b/src/hsim/faults.cc
@@ -8,6 +8,7 @@
   site& target;
   oracle& judge;
   std::vector<std::string>& story;
+  std::set<std::string> evacuated;
   std::set<std::string> gone;  // machines that were replaced and never come back
   int stores_replaced = 0, cores_replaced = 0, spares = 0;
   microseconds store_quiet_until = 0;
@@ -178,6 +179,8 @@
   }
   void evacuate() {
     auto zone = pick({"zone-a", "zone-b", "zone-c"});
+    // Once per run and zone: two overlapping evacuations would leave open which of them counts.
+    if (!evacuated.insert(zone).second) return;
     tell("evacuate " + zone);
     target.callers().spawn(target.change_zone(zone, true));
     later(span(6, 12), [self = shared_from_this(), zone] {
--- a/src/members/members_state.h
+++ b/src/members/members_state.h
@@ -113,8 +113,9 @@
         auto name = order.back();
         order.pop_back();
         auto found = rows.find(name);
-        if (name != self.name && found != rows.end() && is_live(found->second.entry))
-          return found->second.entry;
+        // A row that an agent keeps for its proxy is reached at the agent's own address.
+        bool other = found != rows.end() && found->second.entry.inner != self.inner;
+        if (other && is_live(found->second.entry)) return found->second.entry;
       }
       for (auto& [name, each] : rows) order.push_back(name);
       std::shuffle(order.begin(), order.end(), port.runtime().random());
--- a/src/members/probing.cc
+++ b/src/members/probing.cc
@@ -42,7 +42,7 @@
 }
 
 task<> members::state::prober(std::shared_ptr<state> here) {
-  microseconds next_full = 0;
+  microseconds next_full = 0, begun = here->port.runtime().now();
   std::size_t seed = 0;
   while (!here->leaving) {
     here->bury();
@@ -50,7 +50,8 @@
     if (target) here->port.runtime().spawn(check(here, *target));
     auto now = here->port.runtime().now();
     if (!target || now >= next_full) {
-      next_full = now + 2 * second;
+      // Rumours alone reach a newcomer slowly: at first it asks for everything more often.
+      next_full = now + (now - begun < 5 * second ? 400 * millisecond : 2 * second);
       // Seeds and the dead are tried now and then, so that two halves of a split find together again.
       std::vector<std::string> places = here->seeds;
       for (auto& [name, each] : here->rows)
--- /dev/null
+++ b/tests/members_test.cc
@@ -0,0 +1,94 @@
+// Membership: nodes find each other from seeds, lose the dead and keep the living.
+#include "members/members.h"
+
+#include <catch2/catch.hpp>
+
+#include "hsim/world.h"
+
+using namespace herontally;
+
+namespace {
+
+struct fleet {
+  hsim::world world;
+  std::map<std::string, std::shared_ptr<members::members>> nodes;
+  std::vector<std::string> seeds;
+  explicit fleet(std::uint64_t seed) : world(seed) {}
+
+  static std::string address(int number) { return "10.0.0." + std::to_string(number) + ":7000"; }
+  void boot(int number) {
+    std::string name = "n" + std::to_string(number);
+    world.machine(name, "z");
+    world.boot(name);
+    wire::port port(world.runtime_of(name), name, logging::journal(name, [](auto&, auto&) {}));
+    port.listen(address(number));
+    wire::member self;
+    self.name = name;
+    self.role = "node";
+    self.inner = address(number);
+    auto known = std::make_shared<members::members>(port, self, seeds);
+    known->start();
+    nodes[name] = known;
+  }
+  void boot_all(int count) {
+    for (int number = 1; number <= 3; ++number) seeds.push_back(address(number));
+    for (int number = 1; number <= count; ++number) boot(number);
+  }
+  // Every node that is up believes exactly these to be alive.
+  bool agree(std::size_t count) {
+    for (auto& [name, known] : nodes)
+      if (world.find(name).up && !world.find(name).frozen && known->live("node").size() != count)
+        return false;
+    return true;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("nodes find each other from three seeds, and soon") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    fleet site(seed);
+    site.boot_all(24);
+    REQUIRE(site.world.run_until([&] { return site.agree(24); }, 3 * runtime::second));
+    INFO("seed " << seed << " took " << site.world.now());
+    REQUIRE(site.world.now() < 1500 * runtime::millisecond);
+  }
+}
+
+TEST_CASE("a dead node is removed, a frozen one comes back, a cut one is vouched for") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    fleet site(seed);
+    site.boot_all(12);
+    REQUIRE(site.world.run_until([&] { return site.agree(12); }, 3 * runtime::second));
+    site.world.kill("n7", hsim::disk_loss::none, true);
+    REQUIRE(site.world.run_until([&] { return site.agree(11); }, 8 * runtime::second));
+    site.boot(7);
+    REQUIRE(site.world.run_until([&] { return site.agree(12); }, 4 * runtime::second));
+    site.world.freeze("n5");
+    REQUIRE(site.world.run_until([&] { return site.agree(11); }, 8 * runtime::second));
+    site.world.wake("n5");
+    REQUIRE(site.world.run_until([&] { return site.agree(12); }, 4 * runtime::second));
+    // Only one way is cut: second opinions keep both alive.
+    site.world.cut("n2", "n3");
+    site.world.cut("n3", "n2");
+    bool doubted = site.world.run_until([&] { return !site.agree(12); }, 10 * runtime::second);
+    REQUIRE_FALSE(doubted);
+  }
+}
+
+TEST_CASE("two halves of a split find together again") {
+  fleet site(3);
+  site.boot_all(10);
+  REQUIRE(site.world.run_until([&] { return site.agree(10); }, 3 * runtime::second));
+  auto both = [&](auto change) {
+    for (int left = 1; left <= 5; ++left)
+      for (int right = 6; right <= 10; ++right) {
+        change("n" + std::to_string(left), "n" + std::to_string(right));
+        change("n" + std::to_string(right), "n" + std::to_string(left));
+      }
+  };
+  both([&](auto from, auto to) { site.world.cut(from, to); });
+  REQUIRE(site.world.run_until([&] { return site.agree(5); }, 15 * runtime::second));
+  both([&](auto from, auto to) { site.world.heal(from, to); });
+  REQUIRE(site.world.run_until([&] { return site.agree(10); }, 10 * runtime::second));
+}
