Show for each never-rule that the oracle notices its mechanism broken; unit tests

Found by it: the drain rule had never been checked, because the platform stand-in did not report which lists it had shown; two new kinds of fault (news cut off, a door that dozes) were needed before the freshness rule was met at all.

--- a/src/hsim/faults.cc
+++ b/src/hsim/faults.cc
@@ -194,6 +194,34 @@
     target.misbehave(name, how);
     later(span(2, 8), [self = shared_from_this(), name] { self->target.misbehave(name, "well"); });
   }
+  // One edge machine hears nothing any more, while the state is changed and visitors still reach its door.
+  void make_stale() {
+    auto agent = pick(target.of_role("hagent"));
+    tell("news cut off from " + agent);
+    auto others = ours();
+    std::erase_if(others, [&](auto& name) { return target.role_of(name) == "hproxy" || name == agent; });
+    for (auto& other : others) {
+      w().cut(agent, other);
+      w().cut(other, agent);
+    }
+    later(500 * rt::millisecond, [self = shared_from_this()] {
+      self->target.callers().spawn(self->apply(self->pick(self->target.of_role("hcore"))));
+    });
+    later(span(6, 9), [self = shared_from_this(), agent, others] {
+      for (auto& other : others) {
+        self->w().heal(agent, other);
+        self->w().heal(other, agent);
+      }
+    });
+  }
+  // A door sleeps long enough for its programs to go on elsewhere, and then wakes.
+  void doze() {
+    auto name = pick(target.of_role("hproxy"));
+    if (!w().find(name).up || w().find(name).frozen) return;
+    tell("doze " + name);
+    w().freeze(name);
+    later(span(4, 9), [self = shared_from_this(), name] { self->w().wake(name); });
+  }
   void upset_disk() {
     auto name = pick(target.of_role(w().draw(3) ? "hstore" : "hcore"));
     if (gone.count(name)) return;
@@ -226,9 +254,9 @@
 faults::~faults() = default;
 
 const std::vector<std::string>& fault_kinds() {
-  static const std::vector<std::string> kinds{"kill",     "freeze", "cut",  "split",   "zone",
-                                              "store",    "core",   "roll", "race",    "configure",
-                                              "evacuate", "engine", "disk", "weights", "total"};
+  static const std::vector<std::string> kinds{"kill", "freeze",  "cut",   "split",     "zone",     "store",
+                                              "core", "roll",    "race",  "configure", "evacuate", "engine",
+                                              "disk", "weights", "stale", "doze",      "total"};
   return kinds;
 }
 
@@ -246,6 +274,8 @@
   if (kind == "race") self.race_operators();
   if (kind == "configure") self.configure();
   if (kind == "evacuate") self.evacuate();
+  if (kind == "stale") self.make_stale();
+  if (kind == "doze") self.doze();
   if (kind == "engine") self.upset_engine();
   if (kind == "disk") self.upset_disk();
   if (kind == "total") self.total_loss();
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -13,7 +13,7 @@
 ABSL_FLAG(double, visits_per_second, 5, "programs begun each virtual second");
 ABSL_FLAG(bool, story, false, "print each run's faults and counts");
 ABSL_FLAG(std::string, expect, "", "with --broken: the rule whose violation must be noticed");
-ABSL_FLAG(std::int64_t, budget, 100000, "token budget of each program");
+ABSL_FLAG(std::int64_t, budget, 100000, "token budget of each program; small ones grow with each state");
 ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
 
 using namespace herontally;
@@ -22,11 +22,44 @@
     "hsim: runs whole sites in virtual time, from seeds, with faults, and checks the never-rules\n\n"
     "Usage: hsim --seeds A..B [--only KIND,...] [--faults N] [--seconds N] [--visits_per_second N] "
     "[--story]\n\n"
-    "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk weights total\n"
+    "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk weights stale "
+    "doze total\n"
     "A failing seed prints the command that replays it. Exit codes: 0 all well, 1 a rule was broken, 2 bad "
     "usage.\n\n"
     "Example:\n  hsim --seeds 1..100\n";
 
+// With the mechanism whole no seed breaks a rule; with it broken, some seed breaks the rule that it protects.
+static int show_break(hsim::run_options choice, std::uint64_t first, std::uint64_t last,
+                      const std::string& what) {
+  std::string rule = absl::GetFlag(FLAGS_expect);
+#ifdef HERONTALLY_BREAKS
+  for (auto seed = first; seed <= last; ++seed) {
+    choice.seed = seed;
+    breaks().clear();
+    auto whole = hsim::run_scenario(choice);
+    if (!whole.violations.empty()) {
+      printf("seed %llu breaks %s without any break: %s\n", static_cast<unsigned long long>(seed),
+             whole.violations[0].rule.c_str(), whole.violations[0].what.c_str());
+      return 1;
+    }
+    breaks().insert(what);
+    auto report = hsim::run_scenario(choice);
+    for (auto& each : report.violations) {
+      if (each.rule != rule) continue;
+      printf("seed %llu: with \"%s\" broken the oracle says %s: %s\n", static_cast<unsigned long long>(seed),
+             what.c_str(), rule.c_str(), each.what.c_str());
+      return 0;
+    }
+  }
+#else
+  (void)choice;
+  (void)first;
+  (void)last;
+#endif
+  printf("\"%s\" was broken and no seed broke %s\n", what.c_str(), rule.c_str());
+  return 1;
+}
+
 int main(int count, char** words) {
   auto rest = settings::parse_flags(count, words, usage_text);
   if (!rest.empty()) settings::end_with("hsim", {rest[0], "is not expected"});
@@ -57,6 +90,7 @@
   if (!broken_one.empty()) settings::end_with("hsim", {"--broken", "is only known to the build made for it"});
 #endif
   logging::start("hsim", "OFF");
+  if (!absl::GetFlag(FLAGS_expect).empty()) return show_break(choice, first, last, broken_one);
   std::int64_t failed = 0, complete = 0, calls = 0;
   double moved = 0;
   for (auto seed = first; seed <= last; ++seed) {
--- a/src/hsim/oracle.cc
+++ b/src/hsim/oracle.cc
@@ -150,6 +150,24 @@
   }
 }
 
+std::vector<std::pair<std::string, std::int64_t>> oracle::kept_programs(std::size_t most) const {
+  std::vector<std::pair<std::string, std::int64_t>> kept;
+  for (auto& [name, program] : state_->programs) {
+    bool whole = !program.turns.empty(), spent = false;
+    for (auto& [number, turn] : program.turns) {
+      whole = whole && turn.complete;
+      spent = spent || turn.told_spent;
+    }
+    auto budget = state_->budgets.find(name.substr(0, name.find(':')));
+    // What was charged for turns that lapsed isn't known here: only programs far from their budget are asked.
+    bool room = budget != state_->budgets.end() && budget->second.first > 5000;
+    if (whole && !spent && room && program.turns.size() > 1)
+      kept.push_back({name, program.turns.rbegin()->first + 1});
+    if (kept.size() == most) break;
+  }
+  return kept;
+}
+
 void oracle::finish() {
   for (auto& [key, call] : state_->calls)
     if (call.runs > 1 && !key.empty())
--- a/src/hsim/oracle.h
+++ b/src/hsim/oracle.h
@@ -46,6 +46,8 @@
 
   // At the end, when everything was healed.
   void finish();
+  // Programs whose conversation must still be there, with the number of their next turn.
+  std::vector<std::pair<std::string, std::int64_t>> kept_programs(std::size_t most) const;
   const std::vector<violation>& violations() const;
   nlohmann::json counts() const;
 
--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -46,6 +46,33 @@
   }
 }
 
+// Conversations from before and during the storm must go on from where they were.
+static rt::task<> probe_kept(site* place, oracle* judge, bool* done) {
+  auto runtime = place->callers();
+  auto eyes = eyes_of(*judge);
+  auto doors = place->doors();
+  std::size_t turn_to = 0;
+  for (auto& [program, number] : judge->kept_programs(8)) {
+    bool complete = false;
+    auto deadline = runtime.now() + 15 * rt::second;
+    while (!complete && runtime.now() < deadline) {
+      seen_turn asked;
+      asked.program = program;
+      asked.turn = "t" + std::to_string(number);
+      asked.prompt = "and what did we say before";
+      eyes.begin(asked);
+      auto door = doors[turn_to++ % doors.size()];
+      auto seen = co_await herontally::simcaller::take_turn(runtime, door, "swanreach", program, asked.turn,
+                                                            asked.prompt, 64, 10);
+      eyes.turn(seen);
+      complete = seen.end == "complete";
+      if (!complete) co_await runtime.sleep(300 * rt::millisecond);
+    }
+    if (!complete) judge->fail("kept", program + " can't be gone on with");
+  }
+  *done = true;
+}
+
 run_report run_scenario(const run_options& choice) {
   run_report report;
   report.seed = choice.seed;
@@ -100,6 +127,9 @@
   place.callers().spawn(probe_doors(&place, &judge, &served, std::to_string(choice.seed)));
   where.run_until([&] { return served == static_cast<int>(place.doors().size()) && finished; },
                   150 * rt::second);
+  bool asked = false;
+  place.callers().spawn(probe_kept(&place, &judge, &asked));
+  where.run_until([&] { return asked; }, 150 * rt::second);
   judge.finish();
   report.violations = judge.violations();
   report.counts.update(judge.counts());
--- a/src/simplatform/node.cc
+++ b/src/simplatform/node.cc
@@ -48,6 +48,7 @@
 
   void visit(const runtime::http_visit& visit, const gateway::writer& out) {
     if (gateway::common_pages(visit, out, journal, true)) return;
+    if (visit.path == "/v1/engines" && visit.method == "GET" && watcher) watcher(shown);
     if (visit.path == "/v1/engines" && visit.method == "GET")
       return gateway::reply_json(out, 200, {{"engines", shown}});
     if (visit.path == "/v1/nodes" && visit.method == "GET")
--- /dev/null
+++ b/tests/desired_test.cc
@@ -0,0 +1,184 @@
+// The desired state's checks, calendars, settings and the news rules.
+#include <catch2/catch.hpp>
+#include <fstream>
+
+#include "desired/calendar.h"
+#include "desired/state.h"
+#include "hsim/world.h"
+#include "news/board.h"
+#include "settings/settings.h"
+
+using namespace herontally;
+using nlohmann::json;
+
+namespace {
+json example(const std::string& site) {
+  std::ifstream stream(std::string(EXAMPLES) + "/" + site + "/desired.json");
+  return json::parse(stream);
+}
+bool names(const std::vector<desired::fault>& faults, const std::string& pointer) {
+  for (auto& fault : faults)
+    if (fault.pointer == pointer) return true;
+  return false;
+}
+}  // namespace
+
+TEST_CASE("both partners' examples are without fault, and each kind of fault is named by its pointer") {
+  for (auto* site : {"swanreach", "zastavica"}) REQUIRE(desired::check(example(site)).empty());
+  struct spoiled {
+    const char* place;
+    json value;
+    const char* pointer;
+  };
+  std::vector<spoiled> cases{
+      {"/partners/swanreach/models/returns/block_tokens", 0,
+       "/partners/swanreach/models/returns/block_tokens"},
+      {"/partners/swanreach/models/returns/minCachedTokenDelta", "x",
+       "/partners/swanreach/models/returns/minCachedTokenDelta"},
+      {"/partners/swanreach/programs/eligibility/model", "none",
+       "/partners/swanreach/programs/eligibility/model"},
+      {"/partners/swanreach/programs/eligibility/table", "none",
+       "/partners/swanreach/programs/eligibility/table"},
+      {"/partners/swanreach/routes/labels/application", "none",
+       "/partners/swanreach/routes/labels/application"},
+      {"/partners/swanreach/routes/labels/path", "no-slash", "/partners/swanreach/routes/labels/path"},
+      {"/partners/swanreach/tables/day/usage_weight", -1, "/partners/swanreach/tables/day/usage_weight"},
+      {"/partners/swanreach/tables/day/minCachedTokenDelta",
+       {{"none", 5}},
+       "/partners/swanreach/tables/day/minCachedTokenDelta/none"},
+      {"/shared/evacuated_zones", "zone", "/shared/evacuated_zones"},
+      {"/partners/swanreach/calendars/c",
+       {{"cron", "61 * * * *"}, {"program", "exchange"}, {"table", "night"}},
+       "/partners/swanreach/calendars/c/cron"},
+  };
+  for (auto& each : cases) {
+    auto document = example("swanreach");
+    document[json::json_pointer(each.place)] = each.value;
+    auto faults = desired::check(document);
+    INFO(each.pointer << " in " << json(faults).dump());
+    REQUIRE(names(faults, each.pointer));
+  }
+  // Every fault is told, not the first alone.
+  auto document = example("swanreach");
+  document["partners"]["swanreach"]["models"]["returns"]["block_tokens"] = 0;
+  document["partners"]["swanreach"]["tables"]["day"]["usage_weight"] = -1;
+  auto faults = desired::check(document);
+  REQUIRE(names(faults, "/partners/swanreach/models/returns/block_tokens"));
+  REQUIRE(names(faults, "/partners/swanreach/tables/day/usage_weight"));
+}
+
+TEST_CASE("whatever is put for a document is refused or compiled, never worse") {
+  std::mt19937_64 random(17);
+  std::function<json(int)> any = [&](int depth) -> json {
+    switch (random() % (depth > 3 ? 5 : 7)) {
+      case 0:
+        return nullptr;
+      case 1:
+        return random() % 2 == 0;
+      case 2:
+        return static_cast<std::int64_t>(random());
+      case 3:
+        return "x" + std::to_string(random() % 9);
+      case 4:
+        return -1.5;
+      case 5:
+        return json::array({any(depth + 1)});
+      default:
+        return json{{"model", any(depth + 1)}, {"cron", any(depth + 1)}};
+    }
+  };
+  int refused = 0, compiled = 0;
+  for (int turn = 0; turn < 1500; ++turn) {
+    auto document = example("zastavica");
+    // One value somewhere is replaced by another one.
+    auto flat = document.flatten();
+    auto place = std::next(flat.begin(), static_cast<std::ptrdiff_t>(random() % flat.size()));
+    document[json::json_pointer(place.key())] = any(0);
+    if (!desired::check(document).empty()) {
+      ++refused;
+      continue;
+    }
+    desired::record content;
+    content.document = document;
+    REQUIRE(desired::state_of(content).partners.size() == 1);
+    ++compiled;
+  }
+  REQUIRE(refused > 500);
+  REQUIRE(compiled > 20);
+}
+
+TEST_CASE("calendar times match a plain walk over the days") {
+  auto when = [](const char* text) { return std::get<desired::cron>(desired::parse_cron(text)); };
+  // 2026-12-02 was a Wednesday; minute 0 of that day.
+  std::int64_t day = 1796169600 / 60;
+  REQUIRE(desired::matches(when("30 8 * * 1-5"), day + 8 * 60 + 30));
+  REQUIRE_FALSE(desired::matches(when("30 8 * * 1-5"), day + 8 * 60 + 31));
+  REQUIRE_FALSE(desired::matches(when("30 8 * * 6,0"), day + 8 * 60 + 30));
+  REQUIRE(desired::matches(when("*/15 * 2 12 *"), day + 45));
+  REQUIRE(desired::matches(when("0 0 13 * 3"), day));
+  int found = 0;
+  for (std::int64_t minute = day; minute < day + 7 * 1440; ++minute)
+    found += desired::matches(when("5 6,18 * * 7"), minute);
+  REQUIRE(found == 2);
+  for (auto* bad : {"", "* * * *", "60 * * * *", "* 24 * * *", "* * 0 * *", "* * * 13 *", "* * * * 8",
+                    "5-1 * * * *", "*/0 * * * *", "a * * * *", "1,,2 * * * *", "* * * * * *"})
+    REQUIRE(std::holds_alternative<std::string>(desired::parse_cron(bad)));
+}
+
+TEST_CASE("settings name the field that is wrong") {
+  json good{{"name", "core-1"},
+            {"zone", "a"},
+            {"inner", "127.0.0.1:7101"},
+            {"http", "127.0.0.1:7102"},
+            {"seeds", {"127.0.0.1:7101", "127.0.0.1:7103", "127.0.0.1:7105"}},
+            {"data", "x"},
+            {"platform", "127.0.0.1:7900"}};
+  REQUIRE(std::holds_alternative<settings::settings>(settings::from_json(good, "hcore")));
+  std::vector<std::pair<const char*, json>> cases{{"name", "a b"},
+                                                  {"zone", 5},
+                                                  {"inner", "localhost:7101"},
+                                                  {"inner", "127.0.0.1"},
+                                                  {"http", "127.0.0.1:70000"},
+                                                  {"seeds", {"127.0.0.1:7101"}},
+                                                  {"seeds", {"127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:2"}},
+                                                  {"data", ""},
+                                                  {"platform", ""},
+                                                  {"disk_megabytes", 0},
+                                                  {"log_level", "LOUD"},
+                                                  {"operators", {{{"token", "short"}}}},
+                                                  {"extra", 1}};
+  for (auto& [field, value] : cases) {
+    auto bad = good;
+    bad[field] = value;
+    auto result = settings::from_json(bad, "hcore");
+    INFO(field << " = " << value.dump());
+    REQUIRE(std::holds_alternative<settings::fault>(result));
+    REQUIRE(std::get<settings::fault>(result).field == field);
+  }
+}
+
+TEST_CASE(
+    "freshness follows from a core's word or from a majority of the listed edges, joint sets included") {
+  hsim::world world(1);
+  world.machine("m", "z");
+  world.boot("m");
+  auto runtime = world.runtime_of("m");
+  news::freshness fresh(runtime, "a");
+  fresh.edges({"a", "b", "c"}, {});
+  fresh.heard_edge("b", runtime.now());
+  fresh.heard_edge("c", runtime.now());
+  // Never vouched for in this life: neither our own word nor the others' counts.
+  REQUIRE(fresh.moment() < 0);
+  fresh.vouched(runtime.now());
+  REQUIRE(fresh.settled());
+  world.run_for(5 * runtime::second);
+  auto later = runtime.now();
+  REQUIRE(fresh.moment() < later - 4 * runtime::second);
+  fresh.heard_edge("c", later);
+  REQUIRE(fresh.moment() == later);
+  // While the set changes, both majorities are needed.
+  fresh.edges({"a", "b", "c"}, {"a", "x", "y"});
+  REQUIRE(fresh.moment() < later - 4 * runtime::second);
+  fresh.heard_edge("y", later - 10);
+  REQUIRE(fresh.moment() == later - 10);
+}
