--- a/src/hproxy/looks.cc
+++ b/src/hproxy/looks.cc
@@ -1,10 +1,28 @@
-// What a visitor may see of a program's ledger.
+// What can be asked without running anything: a back end's outcome for a key, a program's ledger.
 #include "hproxy/node_state.h"
 
 namespace herontally::hproxy {
 
 constexpr microseconds ledger_patience = 2500 * millisecond;
 
+// Asks the back end whether it has an outcome for the key; asking runs nothing.
+task<std::optional<runtime::http_receipt>> node::state::ask_outcome(std::string name, desired::route route,
+                                                                    std::string key) {
+  auto self = shared_from_this();
+  if (route.outcome_path.empty()) co_return std::nullopt;
+  std::string address;
+  for (auto& row : self->engines.rows())
+    if (row.name == name && row.listed) address = row.address;
+  if (address.empty()) co_return std::nullopt;
+  runtime::http_request request;
+  request.path = route.outcome_path;
+  request.headers["Idempotency-Key"] = key;
+  auto result = co_await runtime::http_fetch(self->runtime, address, request, second);
+  auto* receipt = std::get_if<runtime::http_receipt>(&result);
+  if (!receipt || receipt->status != 200) co_return std::nullopt;
+  co_return *receipt;
+}
+
 task<> node::state::look(gateway::writer out, std::string partner, std::string program) {
   auto self = shared_from_this();
   if (!names::is_plain(program) || !self->desired->partners.at(partner).find_program(program)) {
--- /dev/null
+++ b/tests/store_group.h
@@ -0,0 +1,78 @@
+// Simulated storage machines and writers, for the tests of the register and the ledger.
+#pragma once
+#include <catch2/catch.hpp>
+
+#include "hsim/world.h"
+#include "register/change_view.h"
+#include "register/voter.h"
+
+namespace herontally::tests {
+
+using runtime::second;
+
+// Three storage machines (and spares), and writers that are machines of their own.
+struct group {
+  hsim::world world;
+  std::map<std::string, std::shared_ptr<reg::voter>> voters;
+  std::vector<std::string> names;
+  explicit group(std::uint64_t seed, int count = 3) : world(seed) {
+    for (int number = 1; number <= count; ++number) boot("s" + std::to_string(number));
+  }
+  static std::string address(const std::string& name) { return "10.0.0." + name.substr(1) + ":7000"; }
+  void boot(const std::string& name) {
+    world.machine(name, "z");
+    world.boot(name);
+    auto runtime = world.runtime_of(name);
+    wire::port port(runtime, name, logging::journal(name, [](auto&, auto&) {}));
+    port.listen(address(name));
+    reg::voter_options choice;
+    choice.group = "store";
+    choice.buckets = 2;
+    auto voter = std::make_shared<reg::voter>(port, choice);
+    voters[name] = voter;
+    runtime.spawn(
+        [](std::shared_ptr<reg::voter> opened) -> runtime::task<> { co_await opened->open(); }(voter));
+    runtime.spawn([](std::shared_ptr<reg::voter> mended) -> runtime::task<> {
+      co_await mended->repair_forever();
+    }(voter));
+    world.run_for(10 * runtime::millisecond);
+  }
+  reg::proposer writer(const std::string& name) {
+    world.machine(name, "z");
+    if (!world.find(name).up) world.boot(name);
+    wire::port port(world.runtime_of(name), name, logging::journal(name, [](auto&, auto&) {}));
+    reg::proposer made(port, "store");
+    made.seeds([] {
+      return std::vector<std::string>{address("s1"), address("s2"), address("s3"), address("s4")};
+    });
+    return made;
+  }
+  std::vector<reg::voter_place> places(std::vector<std::string> which) {
+    std::vector<reg::voter_place> list;
+    for (auto& name : which) list.push_back({voters[name]->id(), address(name), name, "z"});
+    return list;
+  }
+  template <class T>
+  T run(const std::string& machine, runtime::task<T> work) {
+    auto result = std::make_shared<std::optional<T>>();
+    world.runtime_of(machine).spawn(
+        [](runtime::task<T> inner, std::shared_ptr<std::optional<T>> out) -> runtime::task<> {
+          out->emplace(co_await std::move(inner));
+        }(std::move(work), result));
+    REQUIRE(world.run_until([&] { return result->has_value(); }, 60 * second));
+    return std::move(**result);
+  }
+  runtime::microseconds deadline(const std::string& machine, runtime::microseconds span) {
+    return world.runtime_of(machine).now() + span;
+  }
+  reg::proposer begin() {
+    auto first = writer("w");
+    auto begun = run(
+        "w", reg::begin_group(first.port(), "store", places({"s1", "s2", "s3"}), deadline("w", 5 * second)));
+    REQUIRE(std::holds_alternative<reg::view>(begun));
+    first.learn(std::get<reg::view>(begun));
+    return first;
+  }
+};
+
+}  // namespace herontally::tests
