Measure in virtual time; hold the doors, cores and inner ports to bad input

Bad input is checked on the real fleet: every code the documents promise, garbage on inner ports, flags and settings of every program.

--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <stdio.h>
 
+#include "hsim/measure.h"
 #include "hsim/scenario.h"
 #include "logging/logging.h"
 #include "runtime/breaks.h"
@@ -12,6 +13,7 @@
 ABSL_FLAG(double, seconds, 30, "virtual seconds of faults");
 ABSL_FLAG(double, visits_per_second, 5, "programs begun each virtual second");
 ABSL_FLAG(bool, story, false, "print each run's faults and counts");
+ABSL_FLAG(std::string, measure, "", "a measurement to make instead");
 ABSL_FLAG(std::string, expect, "", "with --broken: the rule whose violation must be noticed");
 ABSL_FLAG(std::int64_t, budget, 100000, "token budget of each program; small ones grow with each state");
 ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
@@ -24,6 +26,7 @@
     "[--story]\n\n"
     "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk weights stale "
     "doze total\n"
+    "With --measure NAME a measurement is made: control controls fork in-force register threshold times\n"
     "A failing seed prints the command that replays it. Exit codes: 0 all well, 1 a rule was broken, 2 bad "
     "usage.\n\n"
     "Example:\n  hsim --seeds 1..100\n";
@@ -90,6 +93,11 @@
   if (!broken_one.empty()) settings::end_with("hsim", {"--broken", "is only known to the build made for it"});
 #endif
   logging::start("hsim", "OFF");
+  if (!absl::GetFlag(FLAGS_measure).empty()) {
+    if (!hsim::measure(absl::GetFlag(FLAGS_measure)))
+      settings::end_with("hsim", {"--measure", "must be one of: " + hsim::measurement_names()});
+    return 0;
+  }
   if (!absl::GetFlag(FLAGS_expect).empty()) return show_break(choice, first, last, broken_one);
   std::int64_t failed = 0, complete = 0, calls = 0;
   double moved = 0;
--- a/src/register/proposer.h
+++ b/src/register/proposer.h
@@ -1,5 +1,7 @@
 // Changes and reads register keys: two rounds at a majority, with the value that the writer expects.
 #pragma once
+#include <set>
+
 #include "register/view.h"
 #include "wire/wire.h"
 
--- a/tests/fleet_smoke.sh
+++ b/tests/fleet_smoke.sh
@@ -19,6 +19,8 @@
 eval "$(fleet env)"
 "$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 4 --visits_per_second 10 > "$folder/calm.json"
 
+python3 "$root/tests/bad_input.py" "$folder" "$build"
+
 "$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 12 --visits_per_second 10 > "$folder/storm.json" &
 load=$!
 for node in core-1 store-2 agent-3 door-2; do
