--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -139,6 +139,8 @@
   for (auto& name : place.of_role("engine"))
     moved += place.metric(name, "herontally_engine_kv_bytes_in_total");
   report.counts["bytes_moved"] = moved;
+  for (auto& name : place.of_role("hstore"))
+    report.counts["views"][name] = place.metric(name, "herontally_view");
   return report;
 }
 
--- a/src/hsim/site.cc
+++ b/src/hsim/site.cc
@@ -9,6 +9,7 @@
 site::site(world& where, oracle& judge, site_options choice)
     : state_(std::make_shared<state>(where, judge, std::move(choice))) {
   auto& self = *state_;
+  self.owner = this;
   for (int number = 0; number < self.choice.cores; ++number)
     self.make("hcore", "core-" + std::to_string(number + 1), zones[number % 3]);
   for (int number = 0; number < self.choice.stores; ++number)
@@ -28,6 +29,15 @@
 }
 site::~site() = default;
 
+void site::restart_later(const std::string& name) {
+  auto& where = state_->where;
+  where.at(where.now() + rt::second, [this, name] {
+    if (!state_->where.find(name).up) return;
+    state_->where.kill(name, disk_loss::none);
+    boot(name);
+  });
+}
+
 site_options& site::options() { return state_->choice; }
 world& site::where() { return state_->where; }
 rt::handle site::callers() { return state_->where.runtime_of("callers"); }
@@ -59,7 +69,11 @@
   given.disk_megabytes = 64;
   auto node = std::make_shared<Node>(where.runtime_of(spot.name), given, spot.journal);
   where.runtime_of(spot.name).spawn(
-      [](std::shared_ptr<Node> started) -> rt::task<> { co_await started->start(); }(node));
+      [](std::shared_ptr<Node> started, site* own, std::string name) -> rt::task<> {
+        auto fault = co_await started->start();
+        // A process that gives up at its start is started again by the platform.
+        if (fault) own->restart_later(name);
+      }(node, owner, spot.name));
   return node;
 }
 
--- a/src/hsim/site.h
+++ b/src/hsim/site.h
@@ -30,6 +30,7 @@
   bool begin();
   void boot(const std::string& name);
   void boot_all();
+  void restart_later(const std::string& name);
   // A machine at new addresses; it is booted too.
   void add(const std::string& role, const std::string& name, const std::string& zone);
   std::string add_engine(const std::string& kind, const std::string& zone, const std::string& weights);
--- a/src/hsim/site_state.h
+++ b/src/hsim/site_state.h
@@ -20,6 +20,7 @@
 };
 
 struct site::state {
+  site* owner = nullptr;
   world& where;
   oracle& judge;
   site_options choice;
