Give PATCH bodies a length; let the tracer follow changes whose core forgot them

Cause: evhttp's client adds a Content-Length to POST and PUT alone, so hctl's patch arrived without a body (400). Ruled out: the file, the core's parsing (curl's PATCH was taken). The fleet test patches, meets a stale version and evacuates through hctl now. The tracer took the newest revision that a core remembers to have chosen; after that core's restart it showed none. What a core has learned counts as well.

--- a/src/htrace/main.cc
+++ b/src/htrace/main.cc
@@ -7,7 +7,7 @@
 #include "settings/settings.h"
 
 ABSL_FLAG(std::string, seeds, "", "inner addresses of any processes, with commas between");
-ABSL_FLAG(std::int64_t, revision, 0, "which revision; 0 is the newest that a core chose");
+ABSL_FLAG(std::int64_t, revision, 0, "which revision; 0 is the newest that a core knows");
 ABSL_FLAG(bool, json, false, "print JSON");
 
 using namespace herontally;
@@ -50,7 +50,9 @@
   for (auto& node : nodes)
     for (auto& event : node.receipt.events) {
       if (event.revision != revision) continue;
-      if (event.what == "chosen" && (chosen == 0 || event.wall < chosen)) chosen = event.wall;
+      // Should the core that chose it have forgotten, the first core's learning of it stands in.
+      bool told = event.what == "chosen" || (event.what == "learned" && node.who.role == "hcore");
+      if (told && (chosen == 0 || event.wall < chosen)) chosen = event.wall;
       if (event.what == "acknowledged") acknowledged = event.wall;
     }
   auto after = [&](std::int64_t wall) { return static_cast<double>(wall - chosen) / 1000; };
@@ -121,9 +123,10 @@
     node.answered = receipt != nullptr;
     if (receipt) node.receipt = *receipt;
     if (!receipt) continue;
-    for (auto& event : receipt->events)
-      if (event.what == "chosen" && revision < event.revision && absl::GetFlag(FLAGS_revision) == 0)
-        revision = event.revision;
+    for (auto& event : receipt->events) {
+      bool core = receipt->role == "hcore" && (event.what == "chosen" || event.what == "learned");
+      if (core && revision < event.revision && absl::GetFlag(FLAGS_revision) == 0) revision = event.revision;
+    }
   }
   co_return print(nodes, revision, as_json);
 }
--- a/src/runtime/real_http_client.cc
+++ b/src/runtime/real_http_client.cc
@@ -126,6 +126,9 @@
   auto* headers = evhttp_request_get_output_headers(entry->request);
   evhttp_add_header(headers, "Host", address.c_str());
   evhttp_add_header(headers, "Connection", "close");
+  // evhttp gives a length of its own accord only to some methods, and PATCH isn't among them.
+  if (!request.body.empty())
+    evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
   for (auto& [name, value] : request.headers) evhttp_add_header(headers, name.c_str(), value.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(entry->request), request.body.data(), request.body.size());
   if (evhttp_make_request(entry->channel, entry->request, command_of(request.method), request.path.c_str()) !=
--- a/tests/fleet_smoke.sh
+++ b/tests/fleet_smoke.sh
@@ -20,6 +20,15 @@
 "$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 4 --visits_per_second 10 > "$folder/calm.json"
 
 python3 "$root/tests/bad_input.py" "$folder" "$build"
+hctl() { "$build/hctl" --core "$CORE" --token "$TOKEN" "$@"; }
+zone=$(fleet status | awk '$1 == "core-2" { print $3 }')
+echo '{"shared": {"limits": {"waitlist_seconds": 4}}}' > "$folder/patch.json"
+hctl patch "$folder/patch.json" > "$folder/patched"
+hctl get | grep -q '"waitlist_seconds": 4'
+if hctl patch "$folder/patch.json" --expect 1 2> "$folder/stale"; then exit 1; else test $? = 4; fi
+hctl evacuate "$zone" > /dev/null
+hctl get | grep -q "$zone"
+hctl return "$zone" > /dev/null
 
 "$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 12 --visits_per_second 10 > "$folder/storm.json" &
 load=$!
@@ -46,7 +55,7 @@
     calm["turns"], storm["turns_complete"], storm["turns"], storm["drops"], storm["unanswered"]))
 P
 for tries in $(seq 1 100); do
-  if fleet status >/dev/null; then break; fi
+  if fleet status > "$folder/status"; then break; fi
   if [ "$tries" = 100 ]; then fleet status; exit 1; fi
 done
 "$build/htrace" --seeds "$SEEDS"
