--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,112 @@
+// The inner protocol between versions, and calendars on a whole simulated site.
+#include "wire/wire.h"
+
+#include <catch2/catch.hpp>
+
+#include "hsim/site.h"
+
+using namespace herontally;
+using runtime::second;
+
+namespace {
+
+// Asks a node that speaks one version from a node that speaks another.
+std::variant<std::string, wire::error> ask_across(int asker, int answerer, double* dropped) {
+  hsim::world world(1);
+  for (auto* name : {"a", "b"}) {
+    world.machine(name, "z");
+    world.boot(name);
+  }
+  logging::journal lines("b", [](auto&, auto&) {});
+  wire::port left(world.runtime_of("a"), "a", logging::journal("a", [](auto&, auto&) {}));
+  wire::port right(world.runtime_of("b"), "b", lines);
+  left.speak(asker);
+  right.speak(answerer);
+  right.listen("10.0.0.2:7000");
+  right.on<wire::in_force>([](wire::in_force word) -> runtime::task<wire::in_force_receipt> {
+    co_return wire::in_force_receipt{word.node};
+  });
+  std::optional<std::variant<std::string, wire::error>> result;
+  auto ask = [](wire::port port,
+                std::optional<std::variant<std::string, wire::error>>* out) -> runtime::task<> {
+    wire::in_force word{"hello", 1};
+    auto answer = co_await port.ask("10.0.0.2:7000", std::move(word), second);
+    if (auto* receipt = std::get_if<wire::in_force_receipt>(&answer))
+      *out = receipt->verdict;
+    else
+      *out = std::get<wire::error>(answer);
+  };
+  world.runtime_of("a").spawn(ask(left, &result));
+  REQUIRE(world.run_until([&] { return result.has_value(); }, 3 * second));
+  *dropped = lines.value("herontally_inner_dropped_total{reason=\"version\"}");
+  return *result;
+}
+
+}  // namespace
+
+TEST_CASE("a neighbouring version is understood, a further one is refused at once and counted") {
+  for (int asker = 1; asker <= 4; ++asker)
+    for (int answerer = 1; answerer <= 4; ++answerer) {
+      double dropped = 0;
+      auto result = ask_across(asker, answerer, &dropped);
+      INFO(asker << " asks " << answerer);
+      if (std::abs(asker - answerer) <= 1) {
+        REQUIRE(std::get<std::string>(result) == "hello");
+        REQUIRE(dropped == 0);
+      } else {
+        REQUIRE(std::get<wire::error>(result) == wire::error::refused);
+        REQUIRE(dropped == 1);
+      }
+    }
+}
+
+TEST_CASE("a calendar switches its table once for each of its times, also when the duty moves") {
+  hsim::world world(21);
+  hsim::oracle judge(world);
+  hsim::site_options choice;
+  choice.models = 1;
+  choice.applications = 1;
+  hsim::site place(world, judge, choice);
+  REQUIRE(place.begin());
+  std::int64_t version = 0, before = 0;
+  std::string table;
+  auto look = [](hsim::site* own, std::string core, std::int64_t* version, std::string* table,
+                 bool* done) -> runtime::task<> {
+    auto now = co_await own->operate(core, "GET", "/v1/desired", "", "");
+    if (now.status == 200) {
+      *version = now.body["version"];
+      *table = now.body["desired"]["partners"]["swanreach"]["programs"]["exchange"]["table"];
+    }
+    *done = true;
+  };
+  auto see = [&](const std::string& core) {
+    bool done = false;
+    place.callers().spawn(look(&place, core, &version, &table, &done));
+    REQUIRE(world.run_until([&] { return done; }, 10 * second));
+  };
+  see("core-1");
+  auto apply = [](hsim::site* own, std::int64_t expected, bool* done) -> runtime::task<> {
+    nlohmann::json next = own->document(1);
+    auto& partner = next["partners"]["swanreach"];
+    partner["tables"]["night"] = nlohmann::json::object();
+    partner["calendars"]["c"] = {{"cron", "* * * * *"}, {"program", "exchange"}, {"table", "night"}};
+    auto result =
+        co_await own->operate("core-1", "PUT", "/v1/desired", next.dump(), std::to_string(expected));
+    *done = result.status == 200;
+  };
+  bool applied = false;
+  place.callers().spawn(apply(&place, version, &applied));
+  REQUIRE(world.run_until([&] { return applied; }, 10 * second));
+  see("core-1");
+  before = version;
+  // Two full minutes, and the duty's holder dies in the middle of them.
+  world.run_for(50 * second);
+  world.kill("core-1", hsim::disk_loss::none, true);
+  world.run_for(80 * second);
+  see("core-2");
+  REQUIRE(table == "night");
+  // The minute that was under way when it was applied, and those that began since: no more than one change
+  // each.
+  REQUIRE(version - before >= 2);
+  REQUIRE(version - before <= 3);
+}
