--- a/src/hagent/node.cc
+++ b/src/hagent/node.cc
@@ -4,22 +4,12 @@
 
 namespace herontally::hagent {
 
-static wire::member self_of(const settings::settings& place) {
-  wire::member self;
-  self.name = place.name;
-  self.role = "hagent";
-  self.zone = place.zone;
-  self.inner = place.inner;
-  self.http = place.http;
-  return self;
-}
-
 node::state::state(runtime::handle handle, settings::settings given, logging::journal lines)
     : runtime(handle),
       place(std::move(given)),
       journal(lines),
       port(handle, place.name, lines),
-      known(port, self_of(place), place.seeds),
+      known(port, members::row_of(place, "hagent"), place.seeds),
       board(handle),
       fresh(handle, place.name) {}
 
--- a/src/hcore/node.cc
+++ b/src/hcore/node.cc
@@ -4,16 +4,6 @@
 
 namespace herontally::hcore {
 
-static wire::member self_of(const settings::settings& place, const char* role) {
-  wire::member self;
-  self.name = place.name;
-  self.role = role;
-  self.zone = place.zone;
-  self.inner = place.inner;
-  self.http = place.http;
-  return self;
-}
-
 static reg::voter_options voter_choice(const settings::settings& place) {
   reg::voter_options choice;
   choice.group = "core";
@@ -27,7 +17,7 @@
       place(std::move(given)),
       journal(lines),
       port(handle, place.name, lines),
-      known(port, self_of(place, "hcore"), place.seeds),
+      known(port, members::row_of(place, "hcore"), place.seeds),
       voter(port, voter_choice(place)),
       catalog(port, "core"),
       stores(port, "store"),
--- a/src/hstore/node.cc
+++ b/src/hstore/node.cc
@@ -21,15 +21,6 @@
   reg::proposer group;
   bool ready = false, leaving = false;
 
-  static wire::member self_of(const settings::settings& place) {
-    wire::member self;
-    self.name = place.name;
-    self.role = "hstore";
-    self.zone = place.zone;
-    self.inner = place.inner;
-    self.http = place.http;
-    return self;
-  }
   static reg::voter_options voter_choice(const settings::settings& place) {
     reg::voter_options choice;
     choice.group = "store";
@@ -42,7 +33,7 @@
         place(std::move(given)),
         journal(lines),
         port(handle, place.name, lines),
-        known(port, self_of(place), place.seeds),
+        known(port, members::row_of(place, "hstore"), place.seeds),
         voter(port, voter_choice(place)),
         group(port, "store") {}
 
--- a/src/members/members.cc
+++ b/src/members/members.cc
@@ -89,4 +89,14 @@
   }
 }
 
+wire::member row_of(const settings::settings& place, const std::string& role) {
+  wire::member row;
+  row.name = place.name;
+  row.role = role;
+  row.zone = place.zone;
+  row.inner = place.inner;
+  row.http = place.http;
+  return row;
+}
+
 }  // namespace herontally::members
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -1,6 +1,7 @@
 // Who else runs: probes to a few in turn, second opinions through third parties, suspicion before removal.
 // It steers routing and duties; safety never rests on it.
 #pragma once
+#include "settings/settings.h"
 #include "wire/wire.h"
 
 namespace herontally::members {
@@ -39,5 +40,7 @@
 };
 
 std::vector<wire::member> from_text(const std::string& text);
+// A process's own row, as its settings place it.
+wire::member row_of(const settings::settings& place, const std::string& role);
 
 }  // namespace herontally::members
