--- /dev/null
+++ b/src/dialect/dialect.h
@@ -0,0 +1,122 @@
+// How a deployment's surroundings speak: names and formats, as functions over the product's own words. A
+// dialect decides nothing. The product has none of its own beyond its interface; `platform/` makes one.
+#pragma once
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "routing/table.h"
+#include "runtime/backend.h"
+
+namespace herontally::dialect {
+
+// One part of a prompt: its identity and its length in tokens.
+struct prompt_part {
+  std::string id;
+  std::int64_t tokens = 0;
+};
+
+// What a request says of itself. Times in milliseconds; -1: not said.
+struct request_terms {
+  std::string attempt, program, session, previous, model, affinity, last_event;
+  std::int64_t time_left = -1, program_time_left = -1, budget = -1, prompt_tokens = 0, most_tokens = 0;
+  std::vector<prompt_part> parts;
+  std::string assumed_weights;
+};
+
+// What an engine's answer says of itself.
+struct answer_terms {
+  std::string attempt, instance;
+  bool not_run = false;  // the engine promises that it did not run the request
+  bool sealed = false;   // it carries the engine's stamp
+  bool leaving = false;  // the engine said that it will close
+  std::int64_t cold_ms = -1;
+};
+
+// An engine as the platform lists it.
+struct listed_engine {
+  std::string id, service, address, zone, release;
+  std::int64_t capacity = 1, cold_ms = 0;
+  bool draining = false;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_engine, id, service, address, zone, release, capacity, cold_ms,
+                                              draining)
+};
+struct list_page {
+  std::vector<listed_engine> engines;
+  std::string next;  // empty: the last page
+};
+
+// What an engine reports of its load.
+struct engine_report {
+  std::int64_t running = 0, waiting = 0, memory_used = 0, memory = 0;
+};
+
+// The operator's calls, in the product's words.
+struct change_command {
+  std::int64_t expected = -1;  // the operator's version that it builds on; 0: none yet; -1: not said
+  bool partial = false;
+  std::string body;
+};
+struct read_command {};
+struct evacuation_command {
+  std::string zone;
+  bool begin = true;
+};
+struct retire_command {
+  std::string node;
+  double seconds = 0;
+};
+struct retire_status_command {
+  std::string node;
+};
+struct unknown_command {
+  bool known_path = false;  // the path stands for a call, but not with this method or body
+};
+using command = std::variant<unknown_command, change_command, read_command, evacuation_command, retire_command,
+                             retire_status_command>;
+
+// How a call ended; the dialect puts it into a status and a body.
+enum class result { done, rolling, stale, invalid, unknown_name, under_way, too_few, unreachable, unclear };
+struct reply_terms {
+  result end = result::done;
+  std::string document;  // what was read, as it was sent
+  std::vector<routing::fault> faults;
+  std::int64_t version = 0;
+};
+
+// A configuration as sent, and what it means. `sent` is kept as it is for reading back.
+struct configuration {
+  std::string sent;
+  routing::table table;
+};
+
+struct dialect {
+  std::function<request_terms(const std::map<std::string, std::string>& headers)> read_request;
+  std::function<answer_terms(int status, const std::map<std::string, std::string>& headers)> read_answer;
+  // Lays what the next hop must be told over the request's own fields.
+  std::function<void(std::map<std::string, std::string>& headers, const std::string& engine,
+                     std::int64_t time_left, std::int64_t urgency)>
+      address_request;
+  // Tells a caller when to come back, in milliseconds.
+  std::function<void(std::map<std::string, std::string>& headers, std::int64_t milliseconds)> come_back;
+  // The header that an engine's answer carries back, lower case.
+  std::string echo_header;
+  std::string ready_path;
+
+  std::function<std::string(const std::string& page)> list_path;
+  std::function<std::optional<list_page>(const std::string& body)> read_list;
+  std::string report_path;
+  std::function<std::optional<engine_report>(const std::string& body)> read_report;
+
+  std::function<command(const runtime::http_visit& request)> read_command;
+  std::function<runtime::http_receipt(const command& asked, const reply_terms& terms)> write_reply;
+  // A whole configuration, or a partial one laid over `current` (as sent); or what stands against it.
+  std::function<std::variant<configuration, std::vector<routing::fault>>(const std::optional<std::string>& current,
+                                                                         const change_command& change)>
+      read_configuration;
+};
+
+}  // namespace herontally::dialect
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -27,7 +27,8 @@
 
 struct http_visit {
   std::string method, path, query, body, peer;
-  std::map<std::string, std::string> headers;  // names in lower case
+  std::string target;                          // path and query as they came, not decoded
+  std::map<std::string, std::string> headers;  // names in lower case; repeated ones joined by commas
 };
 struct http_receipt {
   int status = 200;
@@ -43,6 +44,10 @@
   std::function<bool()> closed;
   std::function<std::size_t()> backlog;
   std::function<void()> cut;
+  // The client's side is told to open another connection for its next request; before the head goes out.
+  std::function<void()> last_on_connection;
+  // Called once when the client's connection ends before the answer does.
+  std::function<void(std::function<void()>)> on_gone;
 };
 using http_handler = std::function<void(http_visit, std::shared_ptr<http_writer>)>;
 
@@ -57,12 +62,22 @@
 // `sent` is false only when it is certain that no byte of the request left this process.
 struct http_failure {
   bool sent = true;
+  bool garbled = false;  // bytes came that are no answer in the protocol
 };
 using http_event = std::variant<http_head, http_piece, http_end, http_failure>;
 
 struct http_request {
   std::string method = "GET", path, body;
-  std::map<std::string, std::string> headers;
+  std::map<std::string, std::string> headers;  // a "host" among them replaces the address
+  // Connections are kept for later requests to the same address. Without it each request has its own.
+  bool pooled = false;
+  // An idle connection older than this isn't taken: the other side may have forgotten it.
+  microseconds longest_idle = 4 * second;
+  std::size_t most_connections = 64;  // to this address, of this process; more wait for nothing: they fail
+  // The header that the answer must carry with this value; a whole answer without it belongs to another
+  // request, is read to its end and passed over. Empty: any answer is taken.
+  std::string echo_name, echo_value;
+  microseconds patience = second;  // to come up; later it would reach a back end long after it was decided on
 };
 
 struct disk_table {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -24,6 +24,15 @@
   std::int64_t disk_megabytes = 256;
   std::int64_t notice_milliseconds = 3000;
   std::int64_t waitlist = 64, visits = 512;
+  // Where an adapter serves the product on a platform of the users'; empty without one.
+  std::string region;
+  std::string ingress;    // hproxy: clients' requests by the routing table
+  std::string readiness;  // hproxy: the platform asks here whether new connections may come
+  std::string control;    // hcore: the operator's calls, in the platform's form
+  bool founding = false;  // the first start of the whole system, on empty disks: groups may be founded
+  double list_rate = 4;   // calls a second that the platform's list takes from all nodes together
+  std::int64_t drain_milliseconds = 3000;  // requests to a leaving engine must have stopped by then
+  std::int64_t memory_megabytes = 0;       // 0: no bound of ours
   int speaks = 0;  // version of the inner protocol; 0: the newest. Set by simulated sites alone
 };
 
