--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -8,11 +8,20 @@
   std::string client, server;
   std::uint64_t client_life = 0, server_life = 0;
   std::function<void(rt::http_event)> notify;
+  std::function<void()> on_gone;
+  std::string address, echo_name, echo_value;
+  bool pooled = false, passed_over = false;  // the answer is another request's
   bool client_closed = false, server_knows = false, ended = false, replied = false, arrived = false;
   std::size_t unread_bytes = 0;   // what a stalled visitor leaves lying
   microseconds last_arrival = 0;  // pieces arrive in the order they were sent in
 };
 
+// The client's end has come through to the server.
+static void tell_gone(const std::shared_ptr<http_exchange>& exchange) {
+  exchange->server_knows = true;
+  if (auto work = std::exchange(exchange->on_gone, nullptr)) work();
+}
+
 // One event on its way to the client.
 static void to_client(const std::shared_ptr<world::state>& world,
                       const std::shared_ptr<http_exchange>& exchange, rt::http_event event,
@@ -27,6 +36,12 @@
       exchange->unread_bytes += bytes;
       return;
     }
+    // An answer without the asked-for value is another request's; the client goes on waiting for its own.
+    if (auto* head = std::get_if<rt::http_head>(&event); head && !exchange->echo_name.empty()) {
+      auto echo = head->headers.find(exchange->echo_name);
+      exchange->passed_over = echo == head->headers.end() || echo->second != exchange->echo_value;
+    }
+    if (exchange->passed_over && !std::holds_alternative<rt::http_failure>(event)) return;
     bool last =
         std::holds_alternative<rt::http_end>(event) || std::holds_alternative<rt::http_failure>(event);
     exchange->ended = last;
@@ -48,6 +63,7 @@
   };
   writer->reply = [send, exchange](rt::http_receipt receipt) {
     if (std::exchange(exchange->replied, true)) return;
+    exchange->on_gone = nullptr;
     rt::http_head head{receipt.status, {}};
     for (auto& [name, value] : receipt.headers) {
       std::string lower = name;
@@ -66,16 +82,33 @@
     send(rt::http_piece{std::move(bytes)}, size);
   };
   writer->finish = [send, exchange] {
+    exchange->on_gone = nullptr;
     if (!std::exchange(exchange->replied, true)) send(rt::http_end{}, 0);
   };
   writer->closed = [exchange] { return exchange->server_knows; };
   writer->backlog = [exchange] { return exchange->unread_bytes; };
   writer->cut = [send, exchange] {
+    exchange->on_gone = nullptr;
     if (!std::exchange(exchange->replied, true)) send(rt::http_failure{true}, 0);
   };
+  // Each exchange has a connection of its own here.
+  writer->last_on_connection = [] {};
+  writer->on_gone = [weak, exchange](std::function<void()> work) {
+    exchange->on_gone = std::move(work);
+    auto here = weak.lock();
+    if (here && exchange->server_knows)
+      here->schedule(0, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); });
+  };
   return writer;
 }
 
+std::size_t world::state::open_to(const std::string& client, const std::string& address) const {
+  std::size_t count = 0;
+  for (auto& [number, exchange] : exchanges)
+    count += exchange->pooled && exchange->client == client && exchange->address == address;
+  return count;
+}
+
 void world::state::bind_http(struct machine* self, rt::backend& table) {
   std::weak_ptr<state> weak = shared_from_this();
   std::string name = self->name;
@@ -87,6 +120,13 @@
     here->by_address[address] = name;
     return true;
   };
+  table.http_stop_listening = [weak, name](std::string address) {
+    auto here = weak.lock();
+    if (!here) return;
+    here->machines.at(name)->http.erase(address);
+    auto found = here->by_address.find(address);
+    if (found != here->by_address.end() && found->second == name) here->by_address.erase(found);
+  };
   table.http_open = [weak, name, life](std::string address, rt::http_request request,
                                        std::function<void(rt::http_event)> notify) -> std::uint64_t {
     auto here = weak.lock();
@@ -96,8 +136,13 @@
     exchange->client = name;
     exchange->client_life = life;
     exchange->notify = std::move(notify);
+    exchange->address = address;
+    exchange->pooled = request.pooled;
+    exchange->echo_name = request.echo_name;
+    exchange->echo_value = request.echo_value;
+    bool full = request.pooled && here->open_to(name, address) >= request.most_connections;
     here->exchanges[exchange->number] = exchange;
-    auto* target = here->listening(address);
+    auto* target = full ? nullptr : here->listening(address);
     if (!target) {
       here->schedule(2 * here->latency(), name, life, [weak, exchange] {
         auto world = weak.lock();
@@ -114,6 +159,7 @@
     exchange->server_life = target->life;
     rt::http_visit visit;
     visit.method = request.method;
+    visit.target = request.path;
     auto query = request.path.find('?');
     visit.path = request.path.substr(0, query);
     if (query != std::string::npos) visit.query = request.path.substr(query + 1);
@@ -138,7 +184,7 @@
     };
     here->carry(name, exchange->server, exchange->server_life, std::move(deliver), bytes);
     // A channel that isn't made within this time is given up, and with it the visit that it was for.
-    here->schedule(rt::connect_patience, name, life, [weak, exchange] {
+    here->schedule(request.patience, name, life, [weak, exchange] {
       auto world = weak.lock();
       if (!world || exchange->arrived || exchange->ended || exchange->client_closed) return;
       auto& place = *world->machines.at(exchange->server);
@@ -162,8 +208,7 @@
     exchange->notify = nullptr;
     if (exchange->server.empty()) return;
     here->carry(
-        exchange->client, exchange->server, exchange->server_life,
-        [exchange] { exchange->server_knows = true; }, 0);
+        exchange->client, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); }, 0);
   };
 }
 
@@ -181,7 +226,7 @@
       exchanges.erase(exchange->number);
       if (!exchange->server.empty())
         carry(
-            name, exchange->server, exchange->server_life, [exchange] { exchange->server_knows = true; }, 0);
+            name, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); }, 0);
     }
   }
 }
--- a/src/hsim/world_state.h
+++ b/src/hsim/world_state.h
@@ -38,6 +38,8 @@
   std::map<std::uint64_t, std::shared_ptr<http_exchange>> exchanges;
   network net;
 
+  // Pooled exchanges of a client with an address that are under way.
+  std::size_t open_to(const std::string& client, const std::string& address) const;
   std::uint64_t schedule(microseconds delay, std::string machine, std::uint64_t life,
                          std::function<void()> work);
   bool step(microseconds until);
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -27,8 +27,9 @@
 
 struct http_visit {
   std::string method, path, query, body, peer;
-  std::string target;                          // path and query as they came, not decoded
-  std::map<std::string, std::string> headers;  // names in lower case; repeated ones joined by commas
+  std::string target;  // path and query as they came, not decoded
+  std::map<std::string, std::string>
+      headers;  // names in lower case; repeated ones joined by commas, cookies by semicolons
 };
 struct http_receipt {
   int status = 200;
@@ -95,6 +96,8 @@
   std::function<void(std::string, std::string, microseconds, std::function<void(call_outcome)>)> call;
   std::function<bool(std::string, message_handler)> serve;
   std::function<bool(std::string, http_handler)> http_serve;
+  // New connections are refused; those that are open live on.
+  std::function<void(std::string)> http_stop_listening;
   std::function<std::uint64_t(std::string, http_request, std::function<void(http_event)>)> http_open;
   std::function<void(std::uint64_t)> http_cancel;
   disk_table disk;
--- a/src/runtime/real.cc
+++ b/src/runtime/real.cc
@@ -52,7 +52,8 @@
   std::shared_ptr<http_server_part> server;
   std::shared_ptr<http_client_part> client;
   std::optional<handle> runtime;
-  std::function<void()> notice;
+  std::function<void()> notice, reload;
+  struct event* hangup = nullptr;
   struct event* term = nullptr;
   struct event* interrupt = nullptr;
 };
@@ -94,7 +95,7 @@
   };
   state_->channels = make_channels(state_->base, table.after, table.cancel);
   state_->server = make_http_server(state_->base);
-  state_->client = make_http_client(state_->base, table.after);
+  state_->client = make_http_client(state_->base, table);
   bind_channels(state_->channels, table);
   bind_http_server(state_->server, table);
   bind_http_client(state_->client, table);
@@ -111,6 +112,10 @@
   state_->notice = [this] { stop(); };
   state_->term = evsignal_new(state_->base, SIGTERM, on_signal, &state_->notice);
   state_->interrupt = evsignal_new(state_->base, SIGINT, on_signal, &state_->notice);
+  // Without a handler a hangup does nothing: by default it would end the process.
+  state_->reload = [] {};
+  state_->hangup = evsignal_new(state_->base, SIGHUP, on_signal, &state_->reload);
+  event_add(state_->hangup, nullptr);
   event_add(state_->term, nullptr);
   event_add(state_->interrupt, nullptr);
 }
@@ -127,6 +132,7 @@
   }
   entries.clear();
   state_->runtime.reset();
+  event_free(state_->hangup);
   event_free(state_->term);
   event_free(state_->interrupt);
   event_base_free(state_->base);
@@ -136,5 +142,6 @@
 void real::run() { event_base_dispatch(state_->base); }
 void real::stop() { event_base_loopbreak(state_->base); }
 void real::on_notice(std::function<void()> handler) { state_->notice = std::move(handler); }
+void real::on_reload(std::function<void()> handler) { state_->reload = std::move(handler); }
 
 }  // namespace herontally::runtime
--- a/src/runtime/real.h
+++ b/src/runtime/real.h
@@ -18,6 +18,8 @@
   void stop();
   // SIGTERM and SIGINT call this once; without it they stop the loop.
   void on_notice(std::function<void()> handler);
+  // SIGHUP calls this; without it SIGHUP does nothing.
+  void on_reload(std::function<void()> handler);
 
  private:
   struct state;
--- a/src/runtime/real_channels.cc
+++ b/src/runtime/real_channels.cc
@@ -3,10 +3,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <event2/util.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <unordered_map>
 
@@ -18,30 +17,12 @@
 constexpr std::size_t header_bytes = 13;
 enum : unsigned char { kind_question = 0, kind_receipt = 1 };
 
-bool parse_address(const std::string& text, sockaddr_storage& out, int& length) {
-  length = sizeof out;
-  return evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&out), &length) == 0;
-}
-
-void write_frame(bufferevent* channel, std::uint64_t number, unsigned char kind, const std::string& payload) {
-  unsigned char head[header_bytes];
-  std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
-  memcpy(head, &length, 4);
-  memcpy(head + 4, &number, 8);
-  head[12] = kind;
-  bufferevent_write(channel, head, sizeof head);
-  bufferevent_write(channel, payload.data(), payload.size());
-}
-
-void tune(bufferevent* channel) {
-  int one = 1;
-  setsockopt(bufferevent_getfd(channel), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-}
 }  // namespace
 
 struct waiting_call {
   std::function<void(call_outcome)> done;
   std::uint64_t timer = 0;
+  std::uint64_t reads_before = 0;  // what had come in on the channel when the call went out
 };
 
 struct channel_part;
@@ -52,6 +33,8 @@
   std::uint64_t number;
   std::string peer;  // empty for an accepted channel
   bufferevent* stream = nullptr;
+  bool connected = false;
+  std::uint64_t reads = 0;
   message_handler handler;
   std::unordered_map<std::uint64_t, waiting_call> calls;
 };
@@ -71,6 +54,25 @@
   }
 };
 
+// A frame goes straight to the kernel when nothing waits before it; an error is left for the loop to find.
+static void write_frame(channel* self, std::uint64_t number, unsigned char kind, const std::string& payload) {
+  unsigned char head[header_bytes];
+  std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
+  memcpy(head, &length, 4);
+  memcpy(head + 4, &number, 8);
+  head[12] = kind;
+  std::size_t gone = 0;
+  if (self->connected && evbuffer_get_length(bufferevent_get_output(self->stream)) == 0) {
+    iovec parts[2] = {{head, sizeof head}, {const_cast<char*>(payload.data()), payload.size()}};
+    auto taken = writev(bufferevent_getfd(self->stream), parts, 2);
+    if (taken > 0) gone = static_cast<std::size_t>(taken);
+  }
+  if (gone < sizeof head) bufferevent_write(self->stream, head + gone, sizeof head - gone);
+  std::size_t skipped = gone > sizeof head ? gone - sizeof head : 0;
+  if (skipped < payload.size())
+    bufferevent_write(self->stream, payload.data() + skipped, payload.size() - skipped);
+}
+
 static void close_channel(channel_part* part, std::uint64_t number, channel_error why) {
   auto found = part->channels.find(number);
   if (found == part->channels.end()) return;
@@ -118,7 +120,7 @@
     if (found == part->channels.end()) return;
     // An empty answer is the handler's way to say that the message was garbage.
     if (answer.empty()) return close_channel(part.get(), number, channel_error::closed);
-    write_frame(found->second->stream, exchange, kind_receipt, answer);
+    write_frame(found->second.get(), exchange, kind_receipt, answer);
   });
   return true;
 }
@@ -127,6 +129,7 @@
   auto* self = static_cast<channel*>(raw);
   auto* part = self->part;
   std::uint64_t number = self->number;
+  ++self->reads;
   evbuffer* input = bufferevent_get_input(stream);
   while (part->channels.count(number) && evbuffer_get_length(input) >= header_bytes) {
     std::size_t before = evbuffer_get_length(input);
@@ -135,9 +138,12 @@
   }
 }
 
-static void on_event(bufferevent* stream, short what, void* raw) {
+static void on_event(bufferevent*, short what, void* raw) {
   auto* self = static_cast<channel*>(raw);
-  if (what & BEV_EVENT_CONNECTED) return tune(stream);
+  if (what & BEV_EVENT_CONNECTED) {
+    self->connected = true;
+    return;
+  }
   close_channel(self->part, self->number,
                 self->calls.empty() ? channel_error::closed : channel_error::unreachable);
 }
@@ -150,7 +156,7 @@
   entry->number = part->next++;
   entry->handler = owned->second;
   entry->stream = bufferevent_socket_new(part->base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-  tune(entry->stream);
+  entry->connected = true;
   bufferevent_setcb(entry->stream, on_read, nullptr, on_event, entry.get());
   bufferevent_enable(entry->stream, EV_READ | EV_WRITE);
   part->channels[entry->number] = std::move(entry);
@@ -161,12 +167,16 @@
   if (found != part->by_peer.end()) return part->channels[found->second].get();
   sockaddr_storage where{};
   int length = 0;
-  if (!parse_address(peer, where, length)) return nullptr;
+  if (!find_address(peer, where, length)) return nullptr;
   auto entry = std::make_unique<channel>();
   entry->part = part;
   entry->number = part->next++;
   entry->peer = peer;
-  entry->stream = bufferevent_socket_new(part->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  int descriptor = socket(where.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return nullptr;
+  tune_connection(descriptor);
+  entry->stream =
+      bufferevent_socket_new(part->base, descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(entry->stream, on_read, nullptr, on_event, entry.get());
   bufferevent_enable(entry->stream, EV_READ | EV_WRITE);
   channel* result = entry.get();
@@ -193,13 +203,14 @@
     auto here = weak.lock();
     sockaddr_storage where{};
     int length = 0;
-    if (!here || !parse_address(address, where, length)) return false;
+    if (!here || !find_address(address, where, length)) return false;
     here->handlers.push_back(
         std::make_unique<std::pair<channel_part*, message_handler>>(here.get(), std::move(handler)));
     auto* listener = evconnlistener_new_bind(here->base, on_accept, here->handlers.back().get(),
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 512,
                                              reinterpret_cast<sockaddr*>(&where), length);
     if (!listener) return false;
+    tune_connection(evconnlistener_get_fd(listener));
     here->listeners.push_back(listener);
     return true;
   };
@@ -223,10 +234,13 @@
       if (found == calls.end()) return;
       auto waiting = std::move(found->second);
       calls.erase(found);
+      // Not a byte since: the other machine may have lost power, so the next call connects anew.
+      if (still->channels[number]->reads == waiting.reads_before)
+        close_channel(still.get(), number, channel_error::timed_out);
       waiting.done(channel_error::timed_out);
     });
-    peer->calls[exchange] = waiting_call{std::move(done), timer};
-    write_frame(peer->stream, exchange, kind_question, payload);
+    peer->calls[exchange] = waiting_call{std::move(done), timer, peer->reads};
+    write_frame(peer, exchange, kind_question, payload);
   };
 }
 
