--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <signal.h>
 #include <sys/socket.h>
 
 #include <catch2/catch.hpp>
@@ -62,6 +63,8 @@
   std::string address;
 
   loop() {
+    // As the real runtime does.
+    signal(SIGPIPE, SIG_IGN);
     table.now = [this] { return clock; };
     table.after = [this](rt::microseconds delay, std::function<void()> work) {
       auto made = std::make_unique<timer>();
