--- a/src/ledger/programs.h
+++ b/src/ledger/programs.h
@@ -31,8 +31,8 @@
   explicit programs(reg::proposer stores);
   // Reserves the most that a turn may put out, before an engine hears of it. Turns of one program that arrive
   // together at this node share a round.
-  runtime::task<reserve_end> reserve(std::string program, std::string turn, std::int64_t budget, std::int64_t most,
-                                     runtime::microseconds deadline);
+  runtime::task<reserve_end> reserve(std::string program, std::string turn, std::int64_t budget,
+                                     std::int64_t most, runtime::microseconds deadline);
   // What went out, in place of what was reserved. Without an answer the reservation counts in full.
   runtime::task<settle_result> settle(std::string program, std::string turn, std::int64_t tokens,
                                       runtime::microseconds deadline);
--- a/src/register/ahead.cc
+++ b/src/register/ahead.cc
@@ -14,7 +14,9 @@
   // A voter of the version before promises nothing ahead: then there is no head start.
   for (auto& receipt : accepted.receipts)
     if (receipt.promised != next && !broken("ahead")) return;
-  if (ahead.size() > 4000) ahead.clear();
+  constexpr std::size_t most_young = 4000;
+  if (ahead.size() >= most_young) ahead_old = std::exchange(ahead, {});
+  ahead_old.erase(key);
   ahead[key] = {next, question.view, question.value};
   counter = std::max(counter, next.counter);
 }
@@ -24,10 +26,10 @@
 task<std::optional<std::string>> proposer::state::go_ahead(std::string key, mutator next, bool urgent,
                                                            microseconds deadline, bool* written) {
   auto self = shared_from_this();
-  auto found = self->ahead.find(key);
-  if (found == self->ahead.end()) co_return std::nullopt;
-  head_start start = found->second;
-  self->ahead.erase(found);
+  auto entry = self->ahead.extract(key);
+  if (!entry) entry = self->ahead_old.extract(key);
+  if (!entry) co_return std::nullopt;
+  head_start start = std::move(entry.mapped());
   if (start.view != self->current.number || self->port.runtime().now() >= deadline) co_return std::nullopt;
   auto proposed = next(start.value);
   // Whether the value still stands is not known here: only a change can be tried.
--- a/src/register/contents.cc
+++ b/src/register/contents.cc
@@ -8,11 +8,11 @@
 using runtime::task;
 
 static task<> put_one(wire::port port, std::string address, wire::content_put question,
-                      runtime::mailbox<std::pair<std::string, bool>> box) {
+                      runtime::mailbox<std::pair<std::string, std::string>> box) {
   std::string id = question.voter;
   auto result = co_await port.ask(std::move(address), std::move(question), round_timeout);
   auto* receipt = std::get_if<wire::content_put_receipt>(&result);
-  box.push({id, receipt && receipt->verdict == "yes"});
+  box.push({id, receipt ? receipt->verdict : std::string()});
 }
 
 task<bool> proposer::put_content(std::string digest, std::string body, microseconds deadline, bool urgent) {
@@ -21,19 +21,21 @@
   for (int turn = 0; runtime.now() < deadline; ++turn) {
     if (self->current.voters.empty() || turn > 0) co_await refresh(deadline);
     view used = self->current;
-    runtime::mailbox<std::pair<std::string, bool>> box(runtime);
+    runtime::mailbox<std::pair<std::string, std::string>> box(runtime);
     auto places = used.all();
     for (auto& place : places) {
-      wire::content_put question{place.id, digest, body, urgent};
+      wire::content_put question{place.id, digest, body, urgent, used.number};
       runtime.spawn(put_one(self->port, place.address, std::move(question), box));
     }
     std::set<std::string> yes;
     for (std::size_t heard = 0; heard < places.size(); ++heard) {
       auto word = co_await box.pop(std::max<microseconds>(0, deadline - runtime.now()));
       if (!word) break;
-      if (word->second) yes.insert(word->first);
-      // A view that changed meanwhile is no concern: the head that will name this content is written
-      // under the voters' own check of the view, and contents are filled before heads move.
+      if (word->second == "yes") yes.insert(word->first);
+      // It may have missed the installation; a voter that is further on passes it over.
+      if (word->second == "view") self->send_view(used, word->first);
+      // Each of these had this view when it took the content, so that a move that fills a newcomer after
+      // it, from a majority that has the next view, lists the content.
       if (used.quorum([&yes](const std::string& id) { return yes.count(id) > 0; })) co_return true;
     }
     co_await runtime.sleep(20 * millisecond);
@@ -56,7 +58,8 @@
     // Every voter was tried without one more body: the chain can't be had now.
     if (fruitless >= places.size() * 2 || runtime.now() >= deadline) co_return std::nullopt;
     auto& place = places[which % places.size()];
-    wire::chain_ask question{place.id, digest, static_cast<std::int64_t>(length - bodies.size())};
+    wire::chain_ask question{place.id, digest, static_cast<std::int64_t>(length - bodies.size()),
+                             self->current.number};
     auto result = co_await self->port.ask(place.address, std::move(question), round_timeout);
     ++which;
     ++fruitless;
@@ -75,11 +78,11 @@
 }
 
 static task<std::optional<std::set<std::string>>> list_one(wire::port port, voter_place place,
-                                                           microseconds deadline) {
+                                                           std::int64_t number, microseconds deadline) {
   std::set<std::string> records;
   std::string after;
   while (port.runtime().now() < deadline) {
-    wire::keys_ask question{place.id, after, 1000, -1};
+    wire::keys_ask question{place.id, after, 1000, -1, number};
     auto result = co_await port.ask(place.address, std::move(question), round_timeout);
     auto* receipt = std::get_if<wire::keys_receipt>(&result);
     if (!receipt || receipt->verdict != "yes") co_return std::nullopt;
@@ -93,9 +96,10 @@
 task<std::optional<std::set<std::string>>> proposer::list_records(view of, microseconds deadline) {
   auto self = state_;
   std::set<std::string> records, heard;
-  // A majority of the old voters, and of the new ones when both count.
+  // A majority of the old voters, and of the new ones when both count. Only voters that have this view are
+  // heard: one that hasn't could still take a record of the view before, after it was listed.
   for (auto& place : of.all()) {
-    auto listed = co_await list_one(self->port, place, deadline);
+    auto listed = co_await list_one(self->port, place, of.number, deadline);
     if (!listed) continue;
     heard.insert(place.id);
     records.insert(listed->begin(), listed->end());
--- a/src/register/proposer.cc
+++ b/src/register/proposer.cc
@@ -136,7 +136,9 @@
     wire::voter_ask question;
     question.step = "prepare";
     question.key = key;
-    self->counter = std::max<std::int64_t>(self->counter, self->highest_seen) + 1;
+    // From the wall clock on, so that a record that one store has removed as overdue and another still holds
+    // loses to whatever is written after it.
+    self->counter = std::max<std::int64_t>({self->counter, self->highest_seen, runtime.wall()}) + 1;
     question.ballot = {self->counter, self->identity};
     question.urgent = urgent;
     auto prepared = co_await self->round(question, deadline);
--- a/src/register/proposer_state.h
+++ b/src/register/proposer_state.h
@@ -1,5 +1,7 @@
 // Internal to the register package: one proposer's state and the results of its rounds.
 #pragma once
+#include <unordered_map>
+
 #include "register/proposer.h"
 
 namespace herontally::reg {
@@ -34,7 +36,9 @@
   std::function<std::vector<std::string>()> seeds;
   std::int64_t identity, counter = 0, highest_seen = 0;
   bool strangers = false;
-  std::map<std::string, head_start> ahead;
+  // What was used last is in the young map; once that is full it takes the place of the old one, whose
+  // entries nobody has used for as long.
+  std::unordered_map<std::string, head_start> ahead, ahead_old;
   state(wire::port from, std::string name) : port(std::move(from)), group(std::move(name)) {
     // A proposer's identity must differ from every other's, also from its own before a restart.
     identity = static_cast<std::int64_t>(port.runtime().random()() >> 1);
--- a/src/register/repair.cc
+++ b/src/register/repair.cc
@@ -13,7 +13,7 @@
 static task<bool> give(wire::port port, voter_place fellow, std::int64_t number, std::string record,
                        std::string bytes) {
   if (record[0] == 'c') {
-    wire::content_put copy{fellow.id, record.substr(2), bytes, true};
+    wire::content_put copy{fellow.id, record.substr(2), bytes, true, 0};
     auto result = co_await port.ask(fellow.address, std::move(copy), repair_timeout);
     auto* receipt = std::get_if<wire::content_put_receipt>(&result);
     co_return receipt && receipt->verdict == "yes";
@@ -32,7 +32,7 @@
   std::string after;
   std::int64_t missing = 0;
   while (true) {
-    wire::keys_ask question{fellow.id, after, page, range};
+    wire::keys_ask question{fellow.id, after, page, range, 0};
     auto result = co_await self->port.ask(fellow.address, std::move(question), repair_timeout);
     auto* receipt = std::get_if<wire::keys_receipt>(&result);
     if (!receipt || receipt->verdict != "yes") co_return -1;
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -75,16 +75,22 @@
   wire::content_put_receipt receipt;
   receipt.verdict = stranger_check(self->id, question.voter);
   if (self->wiping) receipt.verdict = "failed";
+  auto other_view = [self](std::int64_t asked) { return asked != 0 && asked != self->current.number; };
+  if (receipt.verdict.empty() && other_view(question.view)) receipt.verdict = "view";
   if (!receipt.verdict.empty()) co_return receipt;
   std::string record = "c/" + question.digest;
   auto& holder = self->bucket_of(record);
   runtime::slot<std::string> done(self->port.runtime());
   command work;
   work.urgent = question.urgent;
-  work.apply = [&holder, record, question, done](auto& overlay) {
+  work.apply = [&holder, record, question, done, other_view, self](auto& overlay) {
+    // The view may have moved on while the command waited.
+    bool refused = other_view(question.view) || self->wiping;
     // Contents never change, so what is there already is right.
-    if (!holder.read(overlay, record)) overlay[record] = question.body;
-    return [done](bool lasting, bool full) { done.set(lasting ? "yes" : full ? "full" : "failed"); };
+    if (!refused && !holder.read(overlay, record)) overlay[record] = question.body;
+    return [done, refused](bool lasting, bool full) {
+      done.set(refused ? "view" : lasting ? "yes" : full ? "full" : "failed");
+    };
   };
   holder.waitlist.push(std::move(work));
   receipt.verdict = co_await done.wait();
@@ -93,14 +99,20 @@
 
 wire::chain_receipt voter::state::chain(const wire::chain_ask& question) const {
   wire::chain_receipt receipt;
+  receipt.verdict = stranger_check(id, question.voter);
+  if (receipt.verdict.empty() && question.view != current.number) receipt.verdict = "view";
+  if (wiping || !opened) receipt.verdict = "failed";
+  if (receipt.verdict.empty()) receipt.verdict = "yes";
   std::string digest = question.digest;
   std::size_t bytes = 0;
   while (!digest.empty() && receipt.bodies.size() < static_cast<std::size_t>(question.limit)) {
     auto body = read("c/" + digest);
     // A message holds only so much; the asker goes on from the last body that it got.
-    if (!body || bytes + body->size() > (8u << 20)) break;
+    if (!body || (bytes > 0 && bytes + body->size() > (8u << 20))) break;
     bytes += body->size();
-    auto document = nlohmann::json::parse(*body, nullptr, false);
+    // The first line names the content before; behind it there may be bytes that are no JSON.
+    auto line = static_cast<std::ptrdiff_t>(std::min(body->find('\n'), body->size()));
+    auto document = nlohmann::json::parse(body->begin(), body->begin() + line, nullptr, false);
     receipt.bodies.push_back(std::move(*body));
     digest = document.is_object() ? document.value("previous", "") : "";
   }
@@ -110,6 +122,8 @@
 wire::keys_receipt voter::state::keys(const wire::keys_ask& question) const {
   wire::keys_receipt receipt;
   receipt.verdict = stranger_check(id, question.voter);
+  if (receipt.verdict.empty() && question.view != 0 && question.view != current.number)
+    receipt.verdict = "view";
   if (!receipt.verdict.empty()) return receipt;
   receipt.verdict = "yes";
   // The buckets' records, merged in order.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -60,20 +60,24 @@
   using receipt = content_put_receipt;
   std::string voter, digest, body;
   bool urgent = false;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(content_put, voter, digest, body, urgent)
+  std::int64_t view = 0;  // refused by a voter of another one; 0: of any
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(content_put, voter, digest, body, urgent, view)
 };
 
 struct chain_receipt {
   static constexpr const char* record = "chain_receipt";
   std::vector<std::string> bodies;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(chain_receipt, bodies)
+  // "yes": by the voter that was asked, in the asker's view. Only then is a missing body lacking there.
+  std::string verdict;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(chain_receipt, bodies, verdict)
 };
 struct chain_ask {
   static constexpr const char* record = "chain_ask";
   using receipt = chain_receipt;
   std::string voter, digest;
   std::int64_t limit = 0;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(chain_ask, voter, digest, limit)
+  std::int64_t view = 0;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(chain_ask, voter, digest, limit, view)
 };
 
 struct keys_receipt {
@@ -90,7 +94,8 @@
   std::string voter, after;
   std::int64_t limit = 0;
   std::int64_t range = -1;  // of this range alone; -1: of all
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(keys_ask, voter, after, limit, range)
+  std::int64_t view = 0;    // refused by a voter of another one; 0: of any
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(keys_ask, voter, after, limit, range, view)
 };
 
 struct sums_receipt {
