Share the stores' syncs between turns; remove idle programs and turns past their time

Why: at 150 turns/s a store took a sync for nearly each of a turn's three writes, and each holds up its whole process. A fold comes after 1/16 of the bucket's limit, 1 MB at least.

Every store removes heads and kept turns by the times that they carry; not while a round that had its promise may still be under way, which the ballots' wall clock tells. Fills and repair hand over 16 records side by side, as one after the other would wait for each spacing.

--- a/src/hstore/expiry.cc
+++ b/src/hstore/expiry.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "ledger/head.h"
+#include "ledger/program_head.h"
 #include "runtime/breaks.h"
 
 namespace herontally::hstore {
@@ -82,6 +82,8 @@
   std::map<std::string, std::int64_t> generations;
   std::vector<std::string> removable;
   for (auto& record : voter.keys_with_prefix("c/")) {
+    // These have times of their own.
+    if (record.compare(2, std::string(ledger::turn_prefix).size(), ledger::turn_prefix) == 0) continue;
     auto body = voter.content(record.substr(2));
     auto content = body ? ledger::content_from(*body) : std::nullopt;
     if (!content) continue;
@@ -107,6 +109,7 @@
 
 task<> expire_forever(reg::voter voter, reg::proposer group, members::members known) {
   auto runtime = group.port().runtime();
+  runtime.spawn(expire_programs_forever(voter, runtime, group.port().journal()));
   std::string heads_after, receipts_after;
   while (true) {
     co_await runtime.sleep(5 * second + static_cast<microseconds>(runtime.draw(500 * millisecond)));
--- /dev/null
+++ b/src/hstore/expiry_programs.cc
@@ -0,0 +1,74 @@
+#include "hstore/expiry.h"
+#include "ledger/program_head.h"
+
+namespace herontally::hstore {
+
+using runtime::millisecond;
+using runtime::second;
+using runtime::task;
+
+namespace {
+// So many records are looked at before others have their turn at the process.
+constexpr int one_step = 300;
+
+// A round that had its promise here may still be under way: its ballot begins with the wall clock.
+bool may_go(std::int64_t wall, const wire::ballot& promised, const std::optional<std::string>& value) {
+  std::int64_t sure = wall - ledger::keep_margin;
+  if (promised.counter > sure) return false;
+  // Only promised to, and nothing came of it.
+  if (!value) return true;
+  auto head = ledger::program_head_from(*value);
+  return head && ledger::is_overdue(*head, sure);
+}
+
+task<> clear_heads(reg::voter voter, runtime::handle runtime, logging::journal journal, int bucket) {
+  std::string after;
+  const std::string prefix = std::string("k/") + ledger::program_prefix;
+  do {
+    std::vector<std::string> overdue;
+    auto visit = [&](const std::string& record, const std::string& bytes) {
+      auto [promised, value] = reg::voter::parts_of(bytes);
+      if (may_go(runtime.wall(), promised, value)) overdue.push_back(record.substr(2));
+    };
+    after = voter.visit_records(bucket, prefix, after, one_step, visit);
+    auto sure = [runtime](const wire::ballot& promised, const std::optional<std::string>& value) {
+      return may_go(runtime.wall(), promised, value);
+    };
+    int gone = co_await voter.forget_keys(std::move(overdue), sure);
+    journal.count("herontally_programs_expired_total", gone);
+    co_await runtime.sleep(5 * millisecond);
+  } while (!after.empty());
+}
+
+task<> clear_turns(reg::voter voter, runtime::handle runtime, logging::journal journal, int bucket) {
+  std::string after;
+  const std::string prefix = std::string("c/") + ledger::turn_prefix;
+  do {
+    std::vector<std::string> overdue;
+    auto visit = [&](const std::string& record, const std::string& bytes) {
+      auto kept_until = ledger::kept_until_of(bytes);
+      if (kept_until && runtime.wall() > *kept_until + ledger::keep_margin)
+        overdue.push_back(record.substr(2));
+    };
+    after = voter.visit_records(bucket, prefix, after, one_step, visit);
+    if (!overdue.empty()) {
+      journal.count("herontally_turns_expired_total", static_cast<double>(overdue.size()));
+      co_await voter.forget(std::move(overdue));
+    }
+    co_await runtime.sleep(5 * millisecond);
+  } while (!after.empty());
+}
+}  // namespace
+
+task<> expire_programs_forever(reg::voter voter, runtime::handle runtime, logging::journal journal) {
+  while (true) {
+    co_await runtime.sleep(5 * second + static_cast<runtime::microseconds>(runtime.draw(500 * millisecond)));
+    if (voter.current().number == 0) continue;
+    for (int bucket = 0; bucket < voter.bucket_count(); ++bucket) {
+      co_await clear_heads(voter, runtime, journal, bucket);
+      co_await clear_turns(voter, runtime, journal, bucket);
+    }
+  }
+}
+
+}  // namespace herontally::hstore
--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -38,35 +38,57 @@
   co_return false;
 }
 
-// One round over every record of the old majority puts each into a majority of the new one.
+enum class filled { stored, gone, failed };
+
+static task<filled> fill_one(proposer group, std::string record, microseconds deadline) {
+  if (record[0] == 'c') {
+    std::string digest = record.substr(2);
+    auto accept_any = [](const std::string&, const std::string&) { return true; };
+    auto one_only = [](const std::string&) { return std::string(); };
+    auto body = co_await group.fetch_chain(digest, 1, accept_any, one_only, deadline);
+    if (!body) co_return filled::gone;
+    bool stored = co_await group.put_content(digest, (*body)[0], deadline, true);
+    co_return stored ? filled::stored : filled::failed;
+  }
+  while (group.port().runtime().now() < deadline) {
+    // The value is written back even if a quorum holds it: the newcomer must have it as well.
+    auto same = [](const std::optional<std::string>& current) { return current; };
+    auto result = co_await group.change(record.substr(2), same, deadline, true);
+    if (result.end == change_end::settled || result.end == change_end::declined) co_return filled::stored;
+  }
+  co_return filled::failed;
+}
+
+// One round over every record of the old majority puts each into a majority of the new one. Many go side by
+// side, so that they share the disks' syncs.
 static task<bool> fill(proposer group, view joint, microseconds deadline) {
-  auto records = co_await group.list_records(joint, deadline);
-  if (!records) co_return false;
-  for (auto& record : *records) {
-    if (record[0] == 'c') {
-      std::string digest = record.substr(2);
-      auto accept_any = [](const std::string&, const std::string&) { return true; };
-      auto one_only = [](const std::string&) { return std::string(); };
-      auto body = co_await group.fetch_chain(digest, 1, accept_any, one_only, deadline);
-      if (!body) {
-        // Removed since it was listed, or out of reach just now: only the first may be passed over.
-        auto again = co_await group.list_records(joint, deadline);
-        if (!again || again->count(record)) co_return false;
-        continue;
-      }
-      bool stored = co_await group.put_content(digest, (*body)[0], deadline, true);
-      if (!stored) co_return false;
-      continue;
-    }
-    bool settled = false;
-    while (!settled && group.port().runtime().now() < deadline) {
-      // The value is written back even if a quorum holds it: the newcomer must have it as well.
-      auto same = [](const std::optional<std::string>& current) { return current; };
-      auto result = co_await group.change(record.substr(2), same, deadline, true);
-      settled = result.end == change_end::settled || result.end == change_end::declined;
-    }
-    if (!settled) co_return false;
+  constexpr std::size_t at_once = 16;
+  auto listed = co_await group.list_records(joint, deadline);
+  if (!listed) co_return false;
+  std::vector<std::string> records(listed->begin(), listed->end());
+  auto runtime = group.port().runtime();
+  runtime::mailbox<std::pair<std::string, filled>> box(runtime);
+  auto work = [](proposer group, std::string record, microseconds deadline,
+                 runtime::mailbox<std::pair<std::string, filled>> box) -> task<> {
+    auto end = co_await fill_one(group, record, deadline);
+    box.push({record, end});
+  };
+  std::vector<std::string> gone;
+  bool all = true;
+  std::size_t begun = 0;
+  for (std::size_t ended = 0; ended < (all ? records.size() : begun); ++ended) {
+    for (; all && begun < records.size() && begun < ended + at_once; ++begun)
+      runtime.spawn(work(group, records[begun], deadline, box));
+    auto end = co_await box.pop(-1);
+    if (!end || end->second == filled::failed) all = false;
+    if (end && end->second == filled::gone) gone.push_back(end->first);
   }
+  if (!all || gone.empty()) co_return all;
+  // Removed since they were listed, or out of reach just now: only the first may be passed over.
+  auto again = co_await group.list_records(joint, deadline);
+  if (!again) co_return false;
+  for (auto& record : gone)
+    if (again->count(record)) co_return false;
   co_return true;
 }
 
--- a/src/register/repair.cc
+++ b/src/register/repair.cc
@@ -10,6 +10,9 @@
 constexpr microseconds repair_timeout = 600 * millisecond;
 constexpr std::int64_t page = 1000;
 
+// Side by side, so that the fellow takes several with one sync.
+constexpr std::size_t gifts_at_once = 16;
+
 static task<bool> give(wire::port port, voter_place fellow, std::int64_t number, std::string record,
                        std::string bytes) {
   if (record[0] == 'c') {
@@ -25,6 +28,19 @@
   co_return receipt && receipt->verdict == "yes";
 }
 
+// A record handed over is a late copy of an accept that its proposer had sent, and is taken by the same rule.
+task<wire::handover_receipt> voter::state::take_over(wire::handover question) {
+  wire::voter_ask late;
+  late.step = "accept";
+  late.voter = question.voter;
+  late.view = question.view;
+  late.key = question.key;
+  late.ballot = question.ballot;
+  late.value = question.value;
+  auto receipt = co_await vote(std::move(late));
+  co_return wire::handover_receipt{receipt.verdict};
+}
+
 // Walks the fellow's records of a range (-1: all) page by page beside our own, in the order of keys. Returns
 // how many it missed, -1 if it could not be asked.
 task<std::int64_t> voter::state::compare_range(voter_place fellow, std::int64_t range) {
@@ -56,9 +72,19 @@
       }
     }
     missing += static_cast<std::int64_t>(gifts.size());
-    for (auto& [record, bytes] : gifts) {
-      bool taken = co_await give(self->port, fellow, self->current.number, record, bytes);
-      if (taken) self->port.journal().count("herontally_repair_handed_over_total");
+    runtime::mailbox<bool> box(self->port.runtime());
+    auto give_one = [](wire::port port, voter_place fellow, std::int64_t number, std::string record,
+                       std::string bytes, runtime::mailbox<bool> box) -> task<> {
+      bool taken = co_await give(port, fellow, number, std::move(record), std::move(bytes));
+      box.push(taken);
+    };
+    std::size_t begun = 0;
+    for (std::size_t ended = 0; ended < gifts.size(); ++ended) {
+      for (; begun < gifts.size() && begun < ended + gifts_at_once; ++begun)
+        self->port.runtime().spawn(give_one(self->port, fellow, self->current.number, gifts[begun].first,
+                                            std::move(gifts[begun].second), box));
+      auto taken = co_await box.pop(-1);
+      if (taken && *taken) self->port.journal().count("herontally_repair_handed_over_total");
     }
     if (last.empty()) break;
     after = last;
--- a/src/register/voter.cc
+++ b/src/register/voter.cc
@@ -30,6 +30,7 @@
     options.prefix = choice.group + "-" + std::to_string(number);
     options.limit_bytes = choice.limit_bytes / choice.buckets;
     options.fingerprint = fingerprint_of;
+    options.log_bytes_before_fold = std::max<std::int64_t>(1 << 20, options.limit_bytes / 16);
     auto runtime = state_->port.runtime();
     state_->buckets.push_back(
         std::make_unique<bucket>(disk::store(runtime, options, state_->port.journal()), runtime));
@@ -43,12 +44,6 @@
   state_->accepted_handler = std::move(handler);
 }
 
-bucket& voter::state::bucket_of(const std::string& record) {
-  std::uint64_t hash = 1469598103934665603ull;
-  for (unsigned char letter : record) hash = (hash ^ letter) * 1099511628211ull;
-  return *buckets[hash % buckets.size()];
-}
-
 std::optional<std::string> voter::state::read(const std::string& record) const {
   auto& holder = const_cast<state*>(this)->bucket_of(record);
   return holder.read({}, record);
@@ -66,6 +61,7 @@
 task<bool> voter::state::begin_anew() {
   auto self = shared_from_this();
   current = view{};
+  turn_places.clear();
   id = broken("identity") ? port.sender() : port.runtime().random_name();
   bool all = true;
   for (auto& each : buckets) {
@@ -118,6 +114,13 @@
   } else {
     self->id = *identities.begin();
   }
+  for (std::size_t number = 0; number < self->buckets.size(); ++number) {
+    auto& records = self->buckets[number]->store.records();
+    for (auto entry = records.lower_bound(turn_record_prefix); entry != records.end(); ++entry) {
+      if (entry->first.rfind(turn_record_prefix, 0) != 0) break;
+      self->turn_places[entry->first] = number;
+    }
+  }
   for (auto& each : self->buckets) self->port.runtime().spawn(self->own(each.get()));
   self->opened = true;
   self->serve();
@@ -125,45 +128,6 @@
   co_return std::nullopt;
 }
 
-// The bucket's owner: takes all commands that wait, makes them last with one sync, then answers them.
-task<> voter::state::own(bucket* which) {
-  auto self = shared_from_this();
-  while (true) {
-    auto first = co_await which->waitlist.pop(-1);
-    if (!first) continue;
-    if (first->alone) {
-      co_await first->alone();
-      continue;
-    }
-    std::vector<command> commands;
-    commands.push_back(std::move(*first));
-    std::optional<command> alone;
-    while (!which->waitlist.empty() && commands.size() < 256 && !alone) {
-      auto next = co_await which->waitlist.pop(0);
-      if (next && next->alone)
-        alone = std::move(next);
-      else if (next)
-        commands.push_back(std::move(*next));
-    }
-    // Urgent commands don't share a batch with others, whose lack of room would sink them.
-    for (bool urgent : {true, false}) {
-      std::map<std::string, std::optional<std::string>> overlay;
-      std::vector<command::staged> answers;
-      for (auto& each : commands)
-        if (each.urgent == urgent) answers.push_back(each.apply(overlay));
-      if (answers.empty()) continue;
-      std::optional<disk::error> failed;
-      if (!overlay.empty()) {
-        std::vector<disk::change> changes;
-        for (auto& [key, value] : overlay) changes.push_back({key, value});
-        failed = co_await which->store.commit(std::move(changes), urgent);
-      }
-      for (auto& answer : answers) answer(!failed, failed == disk::error::full);
-    }
-    if (alone) co_await alone->alone();
-  }
-}
-
 std::optional<std::string> voter::accepted_value(const std::string& key) const {
   auto bytes = state_->read("k/" + key);
   if (!bytes) return std::nullopt;
@@ -202,23 +166,4 @@
 
 task<bool> voter::install(view chosen) { return state_->install(std::move(chosen)); }
 
-task<bool> voter::forget(std::vector<std::string> digests) {
-  auto self = state_;
-  bool all = true;
-  for (auto& digest : digests) {
-    std::string record = "c/" + digest;
-    runtime::slot<bool> done(self->port.runtime());
-    command removal;
-    removal.urgent = true;
-    removal.apply = [record, done](auto& overlay) {
-      overlay[record] = std::nullopt;
-      return [done](bool lasting, bool) { done.set(lasting); };
-    };
-    self->bucket_of(record).waitlist.push(std::move(removal));
-    bool lasting = co_await done.wait();
-    all = all && lasting;
-  }
-  co_return all;
-}
-
 }  // namespace herontally::reg
--- a/src/register/voter.h
+++ b/src/register/voter.h
@@ -29,6 +29,18 @@
   runtime::task<bool> install(view chosen);
   // Removes contents that nothing refers to any more.
   runtime::task<bool> forget(std::vector<std::string> content_digests);
+  // Removes keys that their own contents give up, and returns how many. `sure` is asked at each one's turn;
+  // `promised` is the ballot that was promised last: a round under it may be under way.
+  using key_test = std::function<bool(const wire::ballot& promised, const std::optional<std::string>& value)>;
+  runtime::task<int> forget_keys(std::vector<std::string> keys, key_test sure);
+  // Visits up to `limit` records of one bucket with this prefix after `after`, in order; returns the last one
+  // visited, empty once there are no more.
+  int bucket_count() const;
+  std::string visit_records(
+      int bucket, const std::string& prefix, const std::string& after, int limit,
+      const std::function<void(const std::string& record, const std::string& bytes)>& visit) const;
+  // A cell's parts, as `visit_records` meets them under "k/".
+  static std::pair<wire::ballot, std::optional<std::string>> parts_of(const std::string& cell_bytes);
   // Compares itself with its fellows and hands over what they miss; runs until the process stops.
   runtime::task<> repair_forever();
   std::optional<std::string> accepted_value(const std::string& key) const;
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -33,6 +33,9 @@
   std::int64_t asked_view = question.view;
   command work;
   work.urgent = question.urgent;
+  auto kept = holder.store.records().find(record);
+  work.bytes = 2 * record.size() + question.value.size() + 64;
+  if (kept != holder.store.records().end()) work.bytes += kept->second.size();
   work.apply = [self, &holder, record, question, receipt, done, asked_view](auto& overlay) mutable {
     auto bytes = holder.read(overlay, record);
     cell content = bytes ? cell::unpack(*bytes) : cell{};
@@ -79,10 +82,11 @@
   if (receipt.verdict.empty() && other_view(question.view)) receipt.verdict = "view";
   if (!receipt.verdict.empty()) co_return receipt;
   std::string record = "c/" + question.digest;
-  auto& holder = self->bucket_of(record);
+  auto& holder = self->bucket_for_writing(record, question.body.size());
   runtime::slot<std::string> done(self->port.runtime());
   command work;
   work.urgent = question.urgent;
+  work.bytes = record.size() + question.body.size();
   work.apply = [&holder, record, question, done, other_view, self](auto& overlay) {
     // The view may have moved on while the command waited.
     bool refused = other_view(question.view) || self->wiping;
@@ -164,19 +168,6 @@
   return receipt;
 }
 
-// A record handed over is a late copy of an accept that its proposer had sent, and is taken by the same rule.
-task<wire::handover_receipt> voter::state::take_over(wire::handover question) {
-  wire::voter_ask late;
-  late.step = "accept";
-  late.voter = question.voter;
-  late.view = question.view;
-  late.key = question.key;
-  late.ballot = question.ballot;
-  late.value = question.value;
-  auto receipt = co_await vote(std::move(late));
-  co_return wire::handover_receipt{receipt.verdict};
-}
-
 task<bool> voter::state::install(view chosen) {
   auto self = shared_from_this();
   if (chosen.number <= current.number) co_return chosen.number == current.number&& chosen == current;
--- a/src/register/voter_state.h
+++ b/src/register/voter_state.h
@@ -2,6 +2,8 @@
 #pragma once
 #include <string.h>
 
+#include <unordered_map>
+
 #include "register/voter.h"
 
 namespace herontally::reg {
@@ -33,12 +35,16 @@
 // Records: "@voter" and "@view" in every bucket, "k/" cells, "c/" contents by digest.
 constexpr const char* identity_key = "@voter";
 constexpr const char* view_key = "@view";
+// Records that come and go with every turn of a program.
+constexpr const char* program_record_prefix = "k/program/";
+constexpr const char* turn_record_prefix = "c/turn/";
 
 struct command {
   // Stages changes over `overlay` and returns the function that answers once they are lasting.
   using staged = std::function<void(bool lasting, bool full)>;
   std::function<staged(std::map<std::string, std::optional<std::string>>& overlay)> apply;
   bool urgent = false;
+  std::size_t bytes = 0;  // at least what it adds to the disk
   // Work that has the whole bucket to itself, in place of `apply`.
   std::function<runtime::task<>()> alone;
 };
@@ -46,6 +52,8 @@
 struct bucket {
   disk::store store;
   runtime::mailbox<command> waitlist;
+  runtime::microseconds last_commit = 0;
+  std::size_t written_in_turn = 0;  // of kept turns, since it became their bucket
   bucket(disk::store from, runtime::handle runtime) : store(std::move(from)), waitlist(runtime) {}
   std::optional<std::string> read(const std::map<std::string, std::optional<std::string>>& overlay,
                                   const std::string& key) const {
@@ -68,8 +76,14 @@
   std::function<void(const std::string&, const std::string&)> accepted_handler;
   state(wire::port from, voter_options options) : port(std::move(from)), choice(std::move(options)) {}
 
+  // Kept turns go into one bucket after the other, so that those that come together share a sync.
+  std::unordered_map<std::string, std::size_t> turn_places;
+  std::size_t turn_bucket = 0;
+
   bucket& bucket_of(const std::string& record);
+  bucket& bucket_for_writing(const std::string& record, std::size_t bytes);
   runtime::task<> own(bucket* which);
+  runtime::task<> commit_group(bucket* which, std::vector<command*> commands, bool urgent);
   runtime::task<wire::voter_receipt> vote(wire::voter_ask question);
   runtime::task<wire::content_put_receipt> put(wire::content_put question);
   wire::chain_receipt chain(const wire::chain_ask& question) const;
