--- a/tests/programs_store_test.cc
+++ b/tests/programs_store_test.cc
@@ -96,7 +96,7 @@
   double seconds = static_cast<double>(site.world.now() - begin) / static_cast<double>(second);
   double syncs = static_cast<double>(site.world.find("s1").disk.syncs - syncs_before);
   double rounds = writer.port().journal().value("herontally_register_rounds_total");
-  WARN(*turns / seconds << " turns/s, " << syncs / *turns << " syncs a turn, " << rounds / *turns
+  INFO(*turns / seconds << " turns/s, " << syncs / *turns << " syncs a turn, " << rounds / *turns
                         << " rounds a turn");
   REQUIRE(syncs / *turns < 1);
   REQUIRE(rounds / *turns < 2.2);
