Give each fleet a loopback address of its own, and each port in it once

Cause: a stand-in of a fleet (labels-1) could not listen on its port. Each node drew its two ports by itself, out of 20000, and gave them free again before any process was started: two nodes of one fleet could get the same port, and the process that came second ended at its start. Ruled out: the process's own kill (the test never kills labels-1); an outgoing connection (the ports are below the kernel's range); TIME_WAIT (the listeners reuse addresses).

--- a/tools/fleetlib.py
+++ b/tools/fleetlib.py
@@ -5,21 +5,19 @@
 TOKEN = "fleet-operator-token"
 
 
-def free_ports(count):
-    # Below the range that the kernel takes for outgoing channels: a process that is down keeps its port for itself.
-    # All are held at once, so that no two are the same.
-    held = []
-    while len(held) < count:
-        each = socket.socket()
+def own_host():
+    # A loopback address of the fleet's own: neither another fleet nor an outgoing connection takes ports there.
+    return "127.%d.%d.%d" % (random.randrange(1, 255), random.randrange(256), random.randrange(1, 255))
+
+
+def is_free(host, port):
+    # Whoever listens on all addresses has this one too.
+    with socket.socket() as probe:
         try:
-            each.bind(("127.0.0.1", random.randrange(12000, 32000)))
-            held.append(each)
+            probe.bind((host, port))
         except OSError:
-            each.close()
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ["127.0.0.1:%d" % port for port in ports]
+            return False
+    return True
 
 
 class Fleet:
@@ -43,8 +41,18 @@
             sys.exit("fleet: no node is named %s" % name)
         return self.state["nodes"][name]
 
+    def next_address(self):
+        # Counted on and kept, also those of processes that are down or not yet started: only a port that was never
+        # given before is sure to have no other owner.
+        host = self.state.setdefault("host", own_host())
+        port = self.state.get("last_port", 11999) + 1
+        while not is_free(host, port):
+            port += 1
+        self.state["last_port"] = port
+        return "%s:%d" % (host, port)
+
     def add_node(self, name, role, zone, extra=None):
-        inner, http = free_ports(2)
+        inner, http = self.next_address(), self.next_address()
         node = {"name": name, "role": role, "zone": zone, "inner": inner, "http": http, "pid": 0}
         node.update(extra or {})
         self.state["nodes"][name] = node
