Take a killed process for ended only when its last thread has ended

Cause: tools/fleet took a process for ended as soon as its first thread was a zombie. Ours have threads of the log library's, and a killed process keeps its ports until the last of them has ended: a start right after could not listen. Besides, after its patience the tool sent SIGKILL and did not wait at all. Ruled out: TIME_WAIT (the listeners reuse addresses).

--- a/tools/fleetlib.py
+++ b/tools/fleetlib.py
@@ -93,7 +93,7 @@
         self.save()
 
     def alive(self, node):
-        return node["pid"] and birth(node["pid"]) == node.get("born") and not zombie(node["pid"])
+        return node["pid"] and birth(node["pid"]) == node.get("born") and not ended(node["pid"])
 
     def signal(self, node, number):
         if not self.alive(node):
@@ -109,6 +109,9 @@
             time.sleep(0.02)
         for node in nodes:
             self.signal(node, signal.SIGKILL)
+        # Nobody withstands this one; on a busy machine it may take a while all the same.
+        while any(self.alive(node) for node in nodes):
+            time.sleep(0.02)
 
 
 def birth(pid):
@@ -118,9 +121,11 @@
         return None
 
 
-def zombie(pid):
+def ended(pid):
+    # A process whose first thread is a zombie still holds its ports until its last thread has ended too.
     try:
-        return open("/proc/%d/stat" % pid).read().rsplit(")", 1)[1].split()[0] == "Z"
+        state = open("/proc/%d/stat" % pid).read().rsplit(")", 1)[1].split()[0]
+        return state == "Z" and len(os.listdir("/proc/%d/task" % pid)) == 1
     except OSError:
         return True
 
