Look at the platform before going by a first list that is old

What: the first list of an agent's life, when it is old where it comes from, waits for the agent's own look at the platform. When the look gets no answer the list is taken all the same, as before.

--- a/src/hagent/node.cc
+++ b/src/hagent/node.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "hagent/node_state.h"
+#include "runtime/breaks.h"
 
 namespace herontally::hagent {
 
@@ -64,8 +65,19 @@
   return proxy_lives ? proxy_revision : board.revision();
 }
 
+// The first list of a new life, when it is old where it comes from, may not say which engines leave, and we
+// can't know it from before. We look at the platform first, and go by the list when that look is over:
+// without an answer the engines' own word is all there is.
+bool node::state::may_take_list(const wire::news_receipt& receipt) {
+  auto age = receipt.engines_age_milliseconds;
+  bool old = age < 0 || age * millisecond > list_is_old;
+  bool may = !old || looked || board.engines_sequence() > 0 || broken("outlook");
+  list_offered = !may;
+  return may;
+}
+
 void node::state::learn(const wire::news_receipt& receipt, const std::string& way) {
-  if (!receipt.engines.empty())
+  if (!receipt.engines.empty() && may_take_list(receipt))
     board.set_engines(receipt.engines_epoch, receipt.engines_sequence, receipt.engines);
   if (receipt.state.empty()) return;
   auto content = desired::from_text(receipt.state);
--- a/src/hagent/node_state.h
+++ b/src/hagent/node_state.h
@@ -13,6 +13,10 @@
 using runtime::second;
 using runtime::task;
 
+// Older than this the list may have missed that an engine leaves. The rest of the time until visits must have
+// stopped goes to the look itself and to the way to the door.
+constexpr microseconds list_is_old = 1200 * millisecond;
+
 struct node::state : std::enable_shared_from_this<node::state> {
   runtime::handle runtime;
   settings::settings place;
@@ -27,12 +31,15 @@
   microseconds proxy_seen = -1;
   bool leaving = false;
   std::vector<std::string> leaving_engines;  // by our own look at the platform
+  bool looked = false;                       // in this life, with or without an answer
+  bool list_offered = false;                 // one that waits for our look
   std::vector<wire::trace_event> trace;
 
   state(runtime::handle handle, settings::settings given, logging::journal lines);
   std::int64_t age_milliseconds() const;
   std::int64_t in_force() const;
   void learn(const wire::news_receipt& receipt, const std::string& way);
+  bool may_take_list(const wire::news_receipt& receipt);
   task<> core_link();
   task<> ask_peers();
   task<> look_at_platform();
--- a/src/hagent/platform.cc
+++ b/src/hagent/platform.cc
@@ -6,10 +6,6 @@
 
 using json = nlohmann::json;
 
-// Older than this the list may have missed that an engine leaves. The rest of the time until visits must have
-// stopped goes to the look itself and to the way to the door.
-constexpr microseconds list_is_old = 1200 * millisecond;
-
 // The platform answers only a few times a second, so that one core polls it for all. An edge that is cut off
 // from that core looks for itself. It takes from the platform only that engines leave: whatever else the list
 // says is versioned by the core's epoch, which an edge doesn't have.
@@ -19,7 +15,8 @@
     auto age = self->board.engines_age_milliseconds();
     bool old = age < 0 || age * millisecond > list_is_old;
     if (!old) self->leaving_engines.clear();
-    if (old && self->board.engines_sequence() > 0 && !broken("outlook")) {
+    bool of_use = self->board.engines_sequence() > 0 || self->list_offered;
+    if (old && of_use && !broken("outlook")) {
       runtime::http_request request;
       request.path = "/v1/engines";
       auto result =
@@ -37,6 +34,7 @@
         self->leaving_engines = leaving;
         self->board.stir();
       }
+      self->looked = true;
     }
     co_await self->runtime.sleep(400 * millisecond +
                                  static_cast<microseconds>(self->runtime.draw(200 * millisecond)));
--- a/tests/site_test.cc
+++ b/tests/site_test.cc
@@ -13,7 +13,8 @@
   hsim::world world;
   hsim::oracle judge;
   hsim::site place;
-  explicit small_site(hsim::site_options choice) : world(5), judge(world), place(world, judge, choice) {
+  explicit small_site(hsim::site_options choice, std::uint64_t seed = 5)
+      : world(seed), judge(world), place(world, judge, choice) {
     REQUIRE(place.begin());
     world.run_for(4 * second);
   }
@@ -139,3 +140,32 @@
   site.world.stall("callers", false);
   REQUIRE(site.turn("exchange:after", "t0").end == "complete");
 }
+
+TEST_CASE("an edge that begins anew while no core lives sends nothing to an engine that has been leaving") {
+  // When the first look at the platform falls, before or after the fellows' list, is the seed's choice.
+  int fresh_doors = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    small_site site({}, seed);
+    for (auto& core : site.place.of_role("hcore")) site.world.kill(core, hsim::disk_loss::none);
+    site.world.run_for(2 * second);
+    for (auto& each : site.place.of_role("engine"))
+      if (each.rfind("model", 0) == 0) site.place.roll_engine(each, "v1");
+    site.world.run_for(4500 * millisecond);
+    for (auto name : {"agent-1", "door-1"}) {
+      site.world.kill(name, hsim::disk_loss::none);
+      site.place.boot(name);
+    }
+    // The fellows' list is the one of before; the engines that it names stay up for 2.5 s more.
+    auto out = std::make_shared<std::optional<simcaller::seen_turn>>();
+    bool fresh = false;
+    for (int number = 0; number < 120; ++number) {
+      site.spawn_turn("exchange:" + std::to_string(number), "t0", out, 0, 1);
+      site.world.run_for(20 * millisecond);
+      fresh = fresh || site.place.metric("door-1", "herontally_fresh") == 1;
+    }
+    fresh_doors += fresh ? 1 : 0;
+    CHECK(site.judge.violations().empty());
+  }
+  // Some doors hear of too few fellows within this time to place anything.
+  REQUIRE(fresh_doors >= 6);
+}
