Add the control side for a dialect: routing table, operator's calls, founding

A platform's operator sends whole configurations and amendments in its own form, and the groups had to be begun by a call of ours. Now a core with a dialect serves `control`: the configuration is kept as sent beside its routing table in the desired record, a repeated call is known by its digest, and a change counts as acknowledged once a core majority has chosen it. Cores found their group from the seeds on a first start; the storage group's view is written to the register before it is installed, so that two founders can't lay two. One core reads the engine list page by page; agents look for themselves when that list is old.

A voter checked its view before its write only, so that two first views could pass each other on the way to the disk; the one under way now bars any other of its number.

--- a/src/desired/record.cc
+++ b/src/desired/record.cc
@@ -4,6 +4,27 @@
 
 namespace herontally::desired {
 
+// What came later than the first version of this record is left out while it is empty, and may be missing.
+void to_json(json& document, const record& from) {
+  document = {{"revision", from.revision}, {"version", from.version},           {"document", from.document},
+              {"edges", from.edges},       {"edges_before", from.edges_before}, {"writers", from.writers}};
+  if (!from.sent.empty()) document["sent"] = from.sent;
+  if (!from.routing.is_null()) document["routing"] = from.routing;
+  if (!from.taken.empty()) document["taken"] = from.taken;
+}
+
+void from_json(const json& document, record& to) {
+  document.at("revision").get_to(to.revision);
+  document.at("version").get_to(to.version);
+  to.document = document.at("document");
+  document.at("edges").get_to(to.edges);
+  document.at("edges_before").get_to(to.edges_before);
+  document.at("writers").get_to(to.writers);
+  to.sent = document.value("sent", std::string());
+  to.routing = document.value("routing", json());
+  to.taken = document.value("taken", std::vector<taken_change>());
+}
+
 record empty_record() {
   record content;
   content.document = {{"shared", json::object()}, {"partners", json::object()}};
@@ -40,6 +61,34 @@
   return next;
 }
 
+record next_routing(const record& content, std::string sent, const routing::table& table,
+                    const std::string& digest, const std::string& writer) {
+  record next = next_of(content, {}, writer);
+  next.sent = std::move(sent);
+  next.routing = table;
+  next.taken.insert(next.taken.begin(), taken_change{digest, table.version});
+  // An operator gives a call up long before this many others could come after it.
+  if (next.taken.size() > 32) next.taken.resize(32);
+  return next;
+}
+
+const taken_change* find_taken(const record& content, const std::string& digest) {
+  for (auto& each : content.taken)
+    if (each.digest == digest) return &each;
+  return nullptr;
+}
+
+std::int64_t routing_version(const record& content) {
+  return content.routing.is_object() ? content.routing.value("version", std::int64_t{0}) : 0;
+}
+
+record for_news(const record& content) {
+  record told = content;
+  told.sent.clear();
+  told.taken.clear();
+  return told;
+}
+
 reach differs(const json& before, const json& after) {
   reach found;
   auto part = [](const json& from, const char* name) {
--- a/src/desired/record.h
+++ b/src/desired/record.h
@@ -5,10 +5,20 @@
 #include <string>
 #include <vector>
 
+#include "routing/table.h"
+
 namespace herontally::desired {
 
 using json = nlohmann::json;
 
+// A change that was taken: a digest of the operator's call, and the version that it made. A call that is
+// made again after a lost answer is known by it.
+struct taken_change {
+  std::string digest;
+  std::int64_t version = 0;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(taken_change, digest, version)
+};
+
 // `version` counts the operators' changes, `revision` every change, so that news has one number to follow.
 struct record {
   std::int64_t revision = 0, version = 0;
@@ -17,8 +27,14 @@
   // changes, a majority of the one before is needed too.
   std::vector<std::string> edges, edges_before;
   std::vector<std::string> writers;  // the latest changes' ids, newest first
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(record, revision, version, document, edges, edges_before, writers)
+  // What an adapter's operator sent, as it was sent; what it means to those who route (null: nothing yet);
+  // and the latest changes of it, newest first. The operator's own number stands in `routing`.
+  std::string sent;
+  json routing;
+  std::vector<taken_change> taken;
 };
+void to_json(json& document, const record& from);
+void from_json(const json& document, record& to);
 
 constexpr const char* register_key = "desired";
 record empty_record();
@@ -32,6 +48,14 @@
   std::string pointer, what;
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(fault, pointer, what)
 };
+// The record after an operator's change of the routing table.
+record next_routing(const record& content, std::string sent, const routing::table& table,
+                    const std::string& digest, const std::string& writer);
+const taken_change* find_taken(const record& content, const std::string& digest);
+std::int64_t routing_version(const record& content);
+// Without what only the register needs, for those who are told.
+record for_news(const record& content);
+
 // Every fault of a document: its shape by the shared schema, then what it refers to.
 std::vector<fault> check(const json& document);
 // Which partners' sections differ, and whether the shared one does.
--- a/src/desired/state.cc
+++ b/src/desired/state.cc
@@ -114,6 +114,7 @@
   static const json nobody = json::object();
   const json& partners = content.document.contains("partners") ? content.document["partners"] : nobody;
   for (auto& [name, section] : partners.items()) out.partners[name] = partner_of(section);
+  if (content.routing.is_object()) out.routing = content.routing.get<routing::table>();
   return out;
 }
 
--- a/src/desired/state.h
+++ b/src/desired/state.h
@@ -55,6 +55,7 @@
   std::set<std::string> evacuated_zones, retiring_storage;
   limits limit;
   std::map<std::string, partner> partners;
+  std::optional<routing::table> routing;  // nothing: no operator has sent one
 };
 
 // Of a document that `check` has passed.
--- a/src/hagent/node.cc
+++ b/src/hagent/node.cc
@@ -6,10 +6,12 @@
 
 namespace herontally::hagent {
 
-node::state::state(runtime::handle handle, settings::settings given, logging::journal lines)
+node::state::state(runtime::handle handle, settings::settings given, logging::journal lines,
+                   std::shared_ptr<const dialect::dialect> speech)
     : runtime(handle),
       place(std::move(given)),
       journal(lines),
+      surroundings(std::move(speech)),
       port(handle, place.name, lines),
       known(port, members::row_of(place, "hagent"), place.seeds),
       board(handle),
@@ -17,8 +19,10 @@
   if (place.speaks > 0) port.speak(place.speaks);
 }
 
-node::node(runtime::handle runtime, settings::settings place, logging::journal journal)
-    : state_(std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal))) {}
+node::node(runtime::handle runtime, settings::settings place, logging::journal journal,
+           std::shared_ptr<const dialect::dialect> surroundings)
+    : state_(std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal),
+                                     std::move(surroundings))) {}
 node::~node() = default;
 
 task<std::optional<std::string>> node::start() {
@@ -29,7 +33,10 @@
   self->known.start();
   self->runtime.spawn(self->core_link());
   self->runtime.spawn(self->ask_peers());
-  self->runtime.spawn(self->look_at_platform());
+  if (self->surroundings)
+    self->runtime.spawn(self->look_at_listing());
+  else
+    self->runtime.spawn(self->look_at_platform());
   self->runtime.spawn(self->keep_proxy_row());
   bool served =
       self->runtime.http_serve(self->place.http, [weak](runtime::http_visit visit, gateway::writer out) {
--- a/src/hagent/node.h
+++ b/src/hagent/node.h
@@ -1,5 +1,6 @@
 // Beside each proxy: keeps the control link and the membership, and feeds the proxy over loopback.
 #pragma once
+#include "dialect/dialect.h"
 #include "logging/logging.h"
 #include "runtime/runtime.h"
 #include "settings/settings.h"
@@ -8,7 +9,8 @@
 
 class node {
  public:
-  node(runtime::handle runtime, settings::settings place, logging::journal journal);
+  node(runtime::handle runtime, settings::settings place, logging::journal journal,
+       std::shared_ptr<const dialect::dialect> surroundings = nullptr);
   ~node();
   runtime::task<std::optional<std::string>> start();
   runtime::task<> leave();
--- a/src/hagent/node_state.h
+++ b/src/hagent/node_state.h
@@ -17,6 +17,7 @@
   runtime::handle runtime;
   settings::settings place;
   logging::journal journal;
+  std::shared_ptr<const dialect::dialect> surroundings;  // how the platform speaks; nothing: as we do
   wire::port port;
   members::members known;
   news::board board;
@@ -29,13 +30,15 @@
   std::vector<std::string> leaving_engines;  // by our own look at the platform
   std::vector<wire::trace_event> trace;
 
-  state(runtime::handle handle, settings::settings given, logging::journal lines);
+  state(runtime::handle handle, settings::settings given, logging::journal lines,
+        std::shared_ptr<const dialect::dialect> speech);
   std::int64_t age_milliseconds() const;
   std::int64_t in_force() const;
   void learn(const wire::news_receipt& receipt, const std::string& way);
   task<> core_link();
   task<> ask_peers();
   task<> look_at_platform();
+  task<> look_at_listing();
   task<> keep_proxy_row();
   task<> tell_in_force();
   task<wire::news_receipt> answer(wire::news_ask question);
--- a/src/hagent/platform.cc
+++ b/src/hagent/platform.cc
@@ -1,4 +1,5 @@
 // The agent's own look at the platform, when nobody who polls it can be heard.
+#include "engine/listing.h"
 #include "hagent/node_state.h"
 #include "runtime/breaks.h"
 
@@ -43,4 +44,31 @@
   }
 }
 
+// The same through the platform's own words, less often: all nodes share one rate, and each call is priced.
+task<> node::state::look_at_listing() {
+  auto self = shared_from_this();
+  while (true) {
+    auto age = self->board.engines_age_milliseconds();
+    bool old = age < 0 || age * millisecond > list_is_old;
+    if (!old) self->leaving_engines.clear();
+    if (old && self->board.engines_sequence() > 0 && !self->place.platform.empty()) {
+      auto found = co_await engine::fetch_listing(self->runtime, self->place.platform, self->surroundings,
+                                                  500 * millisecond);
+      self->journal.count("herontally_platform_looks_total");
+      std::vector<std::string> leaving;
+      if (found)
+        for (auto& each : found->engines)
+          if (each.draining) leaving.push_back(each.id);
+      if (found && leaving != self->leaving_engines) {
+        self->leaving_engines = leaving;
+        self->board.stir();
+      }
+    }
+    // Uneven steps keep the edges from asking all at once.
+    microseconds pause =
+        old ? second + static_cast<microseconds>(self->runtime.draw(300 * millisecond)) : 300 * millisecond;
+    co_await self->runtime.sleep(pause);
+  }
+}
+
 }  // namespace herontally::hagent
--- a/src/hcore/desired_change.cc
+++ b/src/hcore/desired_change.cc
@@ -38,7 +38,7 @@
 }
 
 task<> node::state::tell_chosen(desired::record content) {
-  wire::chosen word{content.revision, desired::to_text(content)};
+  wire::chosen word{content.revision, desired::to_text(desired::for_news(content))};
   for (auto& each : known.live("hcore"))
     if (each.name != place.name) runtime.spawn(tell_one(port, each.inner, word));
   co_return;
--- /dev/null
+++ b/src/hcore/founding.cc
@@ -0,0 +1,146 @@
+// The first start: cores found their group from the seeds, then one of them founds the storage group.
+#include <algorithm>
+
+#include "hcore/node_state.h"
+
+namespace herontally::hcore {
+
+// The seeds as voters. Nothing until the membership knows them all: a first view must be the same whoever
+// writes it, so that it holds nothing but what every founder is certain to see alike.
+std::optional<std::vector<reg::voter_place>> node::state::founders() const {
+  std::vector<reg::voter_place> places;
+  for (auto& address : place.seeds) {
+    reg::voter_place founder{"", address, "", ""};
+    for (auto& each : known.all())
+      if (each.role == "hcore" && each.inner == address) {
+        founder.node = each.name;
+        founder.zone = each.zone;
+      }
+    if (founder.node.empty()) return std::nullopt;
+    places.push_back(founder);
+  }
+  // An even group bears no more losses than the odd one below it.
+  if (!places.empty() && places.size() % 2 == 0) places.pop_back();
+  return places;
+}
+
+// Why several founders, or one that dies half-way, make no second group: all have the same seeds, and a
+// voter keeps its identity from its first start on, so that all write the very same first view. A voter
+// installs a first view only while it has none, never another one over it; a founder that meets a voter with
+// another view gives up. So a half-laid view is finished by whoever comes next, with the same content. Turns
+// only spare work: they carry no part of the argument.
+task<> node::state::found_core() {
+  auto self = shared_from_this();
+  auto position = std::find(self->place.seeds.begin(), self->place.seeds.end(), self->place.inner);
+  if (!self->place.founding || position == self->place.seeds.end()) co_return;
+  auto turn = (position - self->place.seeds.begin()) * 2 * second;
+  microseconds complete = -1;
+  while (self->voter.current().number == 0) {
+    co_await self->runtime.sleep(100 * millisecond);
+    auto places = self->founders();
+    if (!places) continue;
+    if (complete < 0) complete = self->runtime.now();
+    if (self->runtime.now() - complete < turn || self->voter.current().number > 0) continue;
+    auto begun = co_await reg::begin_group(self->port, "core", *places, self->runtime.now() + 3 * second);
+    if (auto* first = std::get_if<reg::view>(&begun)) {
+      self->catalog.learn(*first);
+      self->journal.info("core group founded", {{"voters", first->voters.size()}});
+    } else if (std::get<reg::move_error>(begun) != reg::move_error::unreachable) {
+      // Others have a view that isn't ours: this core is let in like any newcomer.
+      co_await self->runtime.sleep(2 * second);
+    }
+  }
+}
+
+// A founder may have died before it wrote the view down in the register. While no view is written there, no
+// move can have been made, so that the installed one is the first and the only one.
+task<> node::state::write_core_view() {
+  auto self = shared_from_this();
+  auto first = self->catalog.current();
+  // Moves begin from a written view only.
+  if (first.number > 1) self->core_written = true;
+  if (first.number != 1) co_return;
+  auto lay = [first](const std::optional<std::string>& current) -> std::optional<std::string> {
+    return current ? std::nullopt : std::optional<std::string>(reg::view_text(first));
+  };
+  auto written =
+      co_await self->catalog.change(reg::view_key_of("core"), lay, self->runtime.now() + second, true);
+  self->core_written = written.value.has_value();
+}
+
+// Empty storage machines for the first view: three in three zones, or what there is of them after a while.
+task<std::vector<reg::voter_place>> node::state::storage_founders() {
+  auto self = shared_from_this();
+  std::vector<reg::voter_place> spread, others, none;
+  std::set<std::string> zones;
+  std::size_t seen_machines = 0;
+  for (auto& each : self->known.live("hstore")) {
+    if (each.status != "alive") continue;
+    ++seen_machines;
+    auto place = reg::voter_place{"", each.inner, each.name, each.zone};
+    (zones.insert(each.zone).second ? spread : others).push_back(place);
+  }
+  if (seen_machines != self->storage_seen) {
+    self->storage_seen = seen_machines;
+    self->storage_changed = self->runtime.now();
+  }
+  // A group never grows, so that a slow start must not leave it with one copy.
+  auto patience = seen_machines >= 3 ? 2 * second : 6 * second;
+  bool waited = self->runtime.now() - self->storage_changed >= patience;
+  if (seen_machines == 0 || (spread.size() < 3 && !waited)) co_return none;
+  spread.insert(spread.end(), others.begin(), others.end());
+  spread.resize(spread.size() >= 3 ? 3 : 1);
+  for (auto& place : spread) {
+    wire::identify_ask question{"store"};
+    auto result = co_await self->port.ask(place.address, std::move(question), 500 * millisecond);
+    auto* receipt = std::get_if<wire::identify_receipt>(&result);
+    if (!receipt || receipt->voter.empty() || !receipt->empty || !receipt->view.empty()) co_return none;
+    place.id = receipt->voter;
+  }
+  co_return spread;
+}
+
+// The view is written into the register first, over nothing only, and installed at its voters after that:
+// two holders of the duty write one after the other, and the second finds the first one's view. Whoever dies
+// between the two steps has installed nothing that the register doesn't name, and the next one goes on.
+// Installing first could lay two views over overlapping machines.
+task<bool> node::state::found_stores() {
+  auto self = shared_from_this();
+  auto key = reg::view_key_of("store");
+  auto read = co_await self->catalog.read(key, self->runtime.now() + second);
+  if (read.end != reg::change_end::settled && read.end != reg::change_end::declined) co_return false;
+  auto text = read.value;
+  if (!text) {
+    auto voters = co_await self->storage_founders();
+    if (voters.empty()) co_return false;
+    reg::view first;
+    first.group = "store";
+    first.number = 1;
+    first.voters = voters;
+    auto lay = [first](const std::optional<std::string>& current) -> std::optional<std::string> {
+      return current ? std::nullopt : std::optional<std::string>(reg::view_text(first));
+    };
+    auto written = co_await self->catalog.change(key, lay, self->runtime.now() + 2 * second, true);
+    if (!written.value) co_return false;
+    text = written.value;
+    self->journal.info("storage group founded", {{"voters", voters.size()}});
+  }
+  auto agreed = reg::view_from(*text);
+  // Later views are installed by whoever moves them.
+  bool installed = agreed.number > 1;
+  if (!installed)
+    installed = co_await reg::install_chosen(self->stores, agreed, self->runtime.now() + second);
+  self->stores.learn(agreed);
+  co_return installed;
+}
+
+// What the first start may have left undone.
+task<> node::state::finish_founding() {
+  auto self = shared_from_this();
+  if (!self->core_written) co_await self->write_core_view();
+  if (self->stores_founded) co_return;
+  bool done = co_await self->found_stores();
+  self->stores_founded = done;
+}
+
+}  // namespace herontally::hcore
--- a/src/hcore/node.cc
+++ b/src/hcore/node.cc
@@ -12,10 +12,12 @@
   return choice;
 }
 
-node::state::state(runtime::handle handle, settings::settings given, logging::journal lines)
+node::state::state(runtime::handle handle, settings::settings given, logging::journal lines,
+                   std::shared_ptr<const dialect::dialect> speech)
     : runtime(handle),
       place(std::move(given)),
       journal(lines),
+      surroundings(std::move(speech)),
       port(handle, place.name, lines),
       known(port, members::row_of(place, "hcore"), place.seeds),
       voter(port, voter_choice(place)),
@@ -28,8 +30,10 @@
   if (place.speaks > 0) port.speak(place.speaks);
 }
 
-node::node(runtime::handle runtime, settings::settings place, logging::journal journal)
-    : state_(std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal))) {}
+node::node(runtime::handle runtime, settings::settings place, logging::journal journal,
+           std::shared_ptr<const dialect::dialect> surroundings)
+    : state_(std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal),
+                                     std::move(surroundings))) {}
 node::~node() = default;
 
 static std::vector<std::string> addresses_of(const members::members& known, const std::string& role,
@@ -54,6 +58,7 @@
   self->voter.on_view([weak](const reg::view& installed) {
     if (auto here = weak.lock()) here->catalog.learn(installed);
   });
+  self->began = self->runtime.now();
   if (!self->port.listen(self->place.inner)) co_return "inner can't be listened on: " + self->place.inner;
   auto fault = co_await self->voter.open();
   if (fault == reg::voter_fault::failed)
@@ -65,8 +70,14 @@
   self->voters_duty.start();
   self->calendar_duty.start();
   self->runtime.spawn(self->confirm_forever());
-  self->runtime.spawn(self->keep_edges());
-  self->runtime.spawn(self->poll_platform());
+  if (self->surroundings) {
+    // Which edges there are is asked of nobody here: an acknowledgement doesn't wait for them.
+    self->runtime.spawn(self->poll_listing());
+    self->runtime.spawn(self->found_core());
+  } else {
+    self->runtime.spawn(self->keep_edges());
+    self->runtime.spawn(self->poll_platform());
+  }
   self->runtime.spawn(self->keep_voters());
   self->runtime.spawn(self->keep_calendars());
   self->runtime.spawn(self->voter.repair_forever());
@@ -74,6 +85,12 @@
         if (auto here = weak.lock()) here->runtime.spawn(here->visit(std::move(request), std::move(out)));
       }))
     co_return "http can't be listened on: " + self->place.http;
+  bool controlled = self->surroundings && !self->place.control.empty();
+  auto command = [weak](runtime::http_visit request, gateway::writer out) {
+    if (auto here = weak.lock()) here->runtime.spawn(here->control_visit(std::move(request), std::move(out)));
+  };
+  if (controlled && !self->runtime.http_serve(self->place.control, command))
+    co_return "control can't be listened on: " + self->place.control;
   self->journal.info("started", {{"voter", self->voter.id()}});
   co_return std::nullopt;
 }
@@ -97,7 +114,11 @@
 
 void node::state::learn(const std::string& text, const std::string& way) {
   auto content = desired::from_text(text);
-  if (!content || !board.set_state(content->revision, text)) return;
+  if (!content) return;
+  // What an operator sent is kept in the register alone; those who route need only what it means.
+  bool long_form = !content->sent.empty();
+  if (!board.set_state(content->revision, long_form ? desired::to_text(desired::for_news(*content)) : text))
+    return;
   note(content->revision, "learned", way);
   journal.info("desired state learned", {{"revision", content->revision}, {"way", way}});
   journal.gauge("herontally_desired_revision", static_cast<double>(content->revision));
--- a/src/hcore/node.h
+++ b/src/hcore/node.h
@@ -1,5 +1,6 @@
 // A core machine's process: voter of the desired state, holder of news, operators' API, duties.
 #pragma once
+#include "dialect/dialect.h"
 #include "logging/logging.h"
 #include "runtime/runtime.h"
 #include "settings/settings.h"
@@ -8,7 +9,9 @@
 
 class node {
  public:
-  node(runtime::handle runtime, settings::settings place, logging::journal journal);
+  // With a dialect the operators' calls are served on `control` as well, and the platform speaks it.
+  node(runtime::handle runtime, settings::settings place, logging::journal journal,
+       std::shared_ptr<const dialect::dialect> surroundings = nullptr);
   ~node();
   // Reads the disk and begins; the result tells what stands in the way.
   runtime::task<std::optional<std::string>> start();
--- a/src/hcore/node_state.h
+++ b/src/hcore/node_state.h
@@ -1,6 +1,7 @@
 // Internal to hcore.
 #pragma once
 #include "desired/state.h"
+#include "dialect/dialect.h"
 #include "duty/duty.h"
 #include "gateway/http.h"
 #include "hcore/node.h"
@@ -40,6 +41,7 @@
   runtime::handle runtime;
   settings::settings place;
   logging::journal journal;
+  std::shared_ptr<const dialect::dialect> surroundings;  // how the platform speaks; nothing: as we do
   wire::port port;
   members::members known;
   reg::voter voter;
@@ -57,8 +59,12 @@
   std::vector<runtime::slot<bool>> force_waits;
   std::string last_engines;
   std::int64_t engines_sequence = 0;
+  microseconds began = 0, storage_changed = 0;
+  std::size_t storage_seen = 0;
+  bool core_written = false, stores_founded = false;
 
-  state(runtime::handle handle, settings::settings given, logging::journal lines);
+  state(runtime::handle handle, settings::settings given, logging::journal lines,
+        std::shared_ptr<const dialect::dialect> speech);
   std::optional<desired::record> current() const;
   void note(std::int64_t revision, const std::string& what, const std::string& way);
   void learn(const std::string& text, const std::string& way);
@@ -71,7 +77,23 @@
   task<bool> await_force(desired::record content, microseconds deadline);
   task<> keep_edges();
   task<> poll_platform();
+  task<> poll_listing();
   task<> push_engines(std::string text);
+  task<> found_core();
+  task<> write_core_view();
+  std::optional<std::vector<reg::voter_place>> founders() const;
+  task<std::vector<reg::voter_place>> storage_founders();
+  task<bool> found_stores();
+  task<> finish_founding();
+  task<> control_visit(runtime::http_visit request, gateway::writer out);
+  task<dialect::reply_terms> execute(dialect::command asked);
+  task<dialect::reply_terms> command_change(
+      std::function<std::optional<desired::record>(const desired::record&, dialect::reply_terms&)> wanted);
+  task<dialect::reply_terms> change_routing(dialect::change_command asked);
+  task<dialect::reply_terms> read_routing();
+  task<dialect::reply_terms> evacuate(dialect::evacuation_command asked);
+  task<dialect::reply_terms> retire(dialect::retire_command asked);
+  task<dialect::reply_terms> retire_status(dialect::retire_status_command asked);
   task<> keep_voters();
   task<> keep_calendars();
   void serve_inner();
--- a/src/hcore/platform.cc
+++ b/src/hcore/platform.cc
@@ -1,5 +1,6 @@
 // The platform's list of engines, polled by one core under an epoch and handed on as news; calendars.
 #include "desired/calendar.h"
+#include "engine/listing.h"
 #include "hcore/node_state.h"
 
 namespace herontally::hcore {
@@ -57,6 +58,40 @@
   }
 }
 
+// The same through the platform's own words. Each call has its price, and all nodes share one rate.
+task<> node::state::poll_listing() {
+  auto self = shared_from_this();
+  std::int64_t epoch = 0;
+  microseconds pause = 500 * millisecond;
+  while (true) {
+    co_await self->runtime.sleep(pause);
+    if (!self->platform_duty.mine() || self->place.platform.empty()) continue;
+    auto found = co_await engine::fetch_listing(self->runtime, self->place.platform, self->surroundings,
+                                                800 * millisecond);
+    // A platform that is silent, out of order or asked too often has said nothing: the last list stays.
+    if (!found) {
+      self->journal.count("herontally_platform_silent_total");
+      continue;
+    }
+    // At most half of the rate is ours: cut-off edges look for themselves.
+    double rate = std::max(self->place.list_rate, 0.1);
+    pause = std::max(500 * millisecond, static_cast<microseconds>(found->pages * 2 / rate * second));
+    if (epoch != self->platform_duty.epoch()) {
+      epoch = self->platform_duty.epoch();
+      self->engines_sequence = 0;
+      self->last_engines.clear();
+    }
+    std::string text = engine::listing_text(found->engines);
+    for (auto& each : found->engines)
+      if (each.draining && self->last_engines.find(nlohmann::json(each).dump()) == std::string::npos)
+        self->journal.info("engine leaves", {{"engine", each.id}, {"says", "platform"}});
+    if (text != self->last_engines)
+      self->journal.info("engine list changed", {{"engines", found->engines.size()}, {"epoch", epoch}});
+    self->last_engines = text;
+    co_await self->push_engines(text);
+  }
+}
+
 // A calendar's change is keyed by its minute inside the desired state: the expected value makes it happen
 // once.
 task<> node::state::keep_calendars() {
--- a/src/hcore/voters.cc
+++ b/src/hcore/voters.cc
@@ -76,6 +76,7 @@
     co_await self->runtime.sleep(500 * millisecond);
     // Two holders at once would only collide in the register, which settles it.
     if (!self->voters_duty.mine() || self->leaving) continue;
+    if (self->surroundings) co_await self->finish_founding();
     co_await self->replace_one(self->catalog, "hcore");
     co_await self->replace_one(self->stores, "hstore");
   }
--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -38,6 +38,11 @@
   co_return false;
 }
 
+task<bool> install_chosen(proposer group, view chosen, microseconds deadline) {
+  std::vector<voter_place> nobody;
+  co_return co_await install_everywhere(group, std::move(chosen), nobody, deadline);
+}
+
 // One round over every record of the old majority puts each into a majority of the new one.
 static task<bool> fill(proposer group, view joint, microseconds deadline) {
   auto records = co_await group.list_records(joint, deadline);
--- a/src/register/change_view.h
+++ b/src/register/change_view.h
@@ -19,6 +19,8 @@
                                                             runtime::microseconds deadline);
 // Finishes a move that another node left half-done. True when there is nothing left to do.
 runtime::task<bool> finish_move(proposer group, proposer catalog, runtime::microseconds deadline);
+// Installs a view that the register names; harmless where it stands already.
+runtime::task<bool> install_chosen(proposer group, view chosen, runtime::microseconds deadline);
 // The agreed view of a group.
 runtime::task<std::optional<view>> agreed_view(proposer catalog, std::string group,
                                                runtime::microseconds deadline);
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -174,6 +174,8 @@
     wiping = !done;
     co_return done;
   }
+  if (installing && chosen.number <= installing->number && chosen != *installing) co_return false;
+  installing = chosen;
   std::vector<disk::change> changes;
   changes.push_back({view_key, view_text(chosen)});
   // The bucket's owners do the writing, so that a batch of theirs is not cut in two.
@@ -194,6 +196,7 @@
     bool lasting = co_await wait.wait();
     all = all && lasting;
   }
+  if (installing == chosen) installing.reset();
   if (!all) co_return false;
   if (chosen.number > current.number) current = chosen;
   port.journal().info("view installed", {{"group", choice.group}, {"view", chosen.number}});
--- a/src/register/voter_state.h
+++ b/src/register/voter_state.h
@@ -62,6 +62,7 @@
   voter_options choice;
   std::string id;
   view current;
+  std::optional<view> installing;  // on its way to the disk: no other one of its number may pass it
   bool opened = false, wiping = false;
   std::vector<std::unique_ptr<bucket>> buckets;
   std::function<void(const view&)> view_handler;
--- /dev/null
+++ b/src/routing/table.cc
@@ -0,0 +1,143 @@
+#include "routing/table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace herontally::routing {
+
+namespace {
+
+bool same_host(std::string_view one, std::string_view other) {
+  auto lower = [](char letter) { return letter >= 'A' && letter <= 'Z' ? letter + ('a' - 'A') : +letter; };
+  return std::equal(one.begin(), one.end(), other.begin(), other.end(),
+                    [&](char left, char right) { return lower(left) == lower(right); });
+}
+
+// The host alone: a port after it tells nothing about the route.
+std::string_view without_port(std::string_view host) {
+  auto colon = host.rfind(':');
+  // Inside the brackets of an IPv6 address a colon is part of the host.
+  if (colon == std::string_view::npos || host.find(']', colon) != std::string_view::npos) return host;
+  return host.substr(0, colon);
+}
+
+}  // namespace
+
+void to_json(json& document, const model_engine& from) {
+  document = {{"capacity", from.capacity},
+              {"memory_tokens", from.memory_tokens},
+              {"event_tokens", from.event_tokens},
+              {"models", from.models}};
+  if (from.min_cached_token_delta) document["minCachedTokenDelta"] = *from.min_cached_token_delta;
+}
+
+void from_json(const json& document, model_engine& to) {
+  to = model_engine{};
+  to.capacity = document.value("capacity", to.capacity);
+  to.memory_tokens = document.value("memory_tokens", to.memory_tokens);
+  to.event_tokens = document.value("event_tokens", to.event_tokens);
+  to.models = document.value("models", to.models);
+  auto delta = document.find("minCachedTokenDelta");
+  if (delta != document.end() && !delta->is_null()) to.min_cached_token_delta = delta->get<std::int64_t>();
+}
+
+void to_json(json& document, const service& from) {
+  document = {{"name", from.name},
+              {"probe", from.probe},
+              {"connections", from.connections},
+              {"cold_seconds", from.cold_seconds},
+              {"cold_rate", from.cold_rate}};
+  if (from.model) document["model"] = *from.model;
+}
+
+void from_json(const json& document, service& to) {
+  to = service{};
+  to.name = document.value("name", to.name);
+  to.probe = document.value("probe", to.probe);
+  to.connections = document.value("connections", to.connections);
+  to.cold_seconds = document.value("cold_seconds", to.cold_seconds);
+  to.cold_rate = document.value("cold_rate", to.cold_rate);
+  auto model = document.find("model");
+  if (model != document.end() && !model->is_null()) to.model = model->get<model_engine>();
+}
+
+void to_json(json& document, const table& from) {
+  document = {{"version", from.version},
+              {"routes", from.routes},
+              {"services", from.services},
+              {"limits", from.limits}};
+}
+
+void from_json(const json& document, table& to) {
+  to = table{};
+  to.version = document.value("version", to.version);
+  to.routes = document.value("routes", to.routes);
+  to.services = document.value("services", to.services);
+  to.limits = document.value("limits", to.limits);
+}
+
+const service* table::find_service(const std::string& name) const {
+  for (auto& each : services)
+    if (each.name == name) return &each;
+  return nullptr;
+}
+
+const route* table::match(const std::string& host, const std::string& path) const {
+  auto wanted = without_port(host);
+  const route* best = nullptr;
+  for (auto& each : routes) {
+    if (best && each.prefix.size() <= best->prefix.size()) continue;
+    if (path.compare(0, each.prefix.size(), each.prefix) == 0 && same_host(each.host, wanted)) best = &each;
+  }
+  return best;
+}
+
+static void check_route(const table& content, const route& entry, const std::string& pointer,
+                        std::vector<fault>& faults) {
+  if (entry.deadline <= 0) faults.push_back({pointer + "/deadline", "must be above 0"});
+  std::int64_t total = 0;
+  bool negative = false;
+  for (std::size_t number = 0; number < entry.targets.size(); ++number) {
+    auto& target = entry.targets[number];
+    auto place = pointer + "/targets/" + std::to_string(number);
+    if (!content.find_service(target.service))
+      faults.push_back({place + "/service", "names no service: " + target.service});
+    if (target.share < 0) faults.push_back({place + "/share", "must not be below 0"});
+    negative = negative || target.share < 0;
+    // Shares are relative, so that one of any size counts as there; sums of huge ones would overflow.
+    total += target.share > 0 ? 1 : 0;
+  }
+  if (entry.targets.empty())
+    faults.push_back({pointer + "/targets", "names no service"});
+  else if (total == 0 && !negative)
+    faults.push_back({pointer + "/targets", "the shares add up to 0"});
+}
+
+std::vector<fault> check(const table& content) {
+  std::vector<fault> faults;
+  std::set<std::string> names;
+  std::set<std::pair<std::string, std::string>> places;
+  for (std::size_t number = 0; number < content.services.size(); ++number) {
+    auto& entry = content.services[number];
+    if (!names.insert(entry.name).second)
+      faults.push_back(
+          {"/services/" + std::to_string(number) + "/name", "another service has this name: " + entry.name});
+  }
+  names.clear();
+  for (std::size_t number = 0; number < content.routes.size(); ++number) {
+    auto& entry = content.routes[number];
+    auto pointer = "/routes/" + std::to_string(number);
+    if (!names.insert(entry.name).second)
+      faults.push_back({pointer + "/name", "another route has this name: " + entry.name});
+    std::string host(without_port(entry.host));
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    if (!places.insert({host, entry.prefix}).second)
+      faults.push_back(
+          {pointer + "/prefix", "another route has this host and prefix: " + entry.host + entry.prefix});
+    check_route(content, entry, pointer, faults);
+  }
+  return faults;
+}
+
+}  // namespace herontally::routing
--- /dev/null
+++ b/tests/control_test.cc
@@ -0,0 +1,299 @@
+// The control side on a platform of the users': founding from seeds, the operator's calls, the engine list.
+#include <catch2/catch.hpp>
+
+#include "hcore/node.h"
+#include "hsim/world.h"
+#include "hstore/node.h"
+#include "platform/dialect.h"
+
+using namespace herontally;
+using json = nlohmann::json;
+using runtime::millisecond;
+using runtime::second;
+
+namespace {
+
+struct control_site {
+  hsim::world world;
+  std::shared_ptr<dialect::dialect> words = std::make_shared<dialect::dialect>();
+  std::map<std::string, std::vector<std::string>> lines;  // what each node logged, over all its lives
+  std::vector<std::string> asked;                         // of the platform's list
+  json page_two = json::array();
+  int list_status = 200;
+
+  explicit control_site(std::uint64_t seed) : world(seed) {
+    platform::fill_operators(*words);
+    world.machine("operator", "");
+    world.boot("operator");
+    world.machine("platform", "");
+    world.boot("platform");
+    world.runtime_of("platform").http_serve("10.0.2.1:80", [this](auto visit, auto out) {
+      asked.push_back(visit.query);
+      bool first = visit.query.empty();
+      json body{{"servers", first ? json::array() : page_two}};
+      if (first) body["next_token"] = "more";
+      out->reply({list_status, {}, body.dump()});
+    });
+  }
+  static std::string inner(const std::string& name) {
+    return "10.0." + std::string(name[0] == 'c' ? "0." : "1.") + name.substr(1) + ":7000";
+  }
+  static std::string control(const std::string& name) { return "10.0.0." + name.substr(1) + ":8144"; }
+  template <class Node, class... More>
+  void boot(const std::string& name, const std::string& role, bool founding, More... more) {
+    world.machine(name, "z" + name.substr(1));
+    world.boot(name);
+    settings::settings place;
+    place.name = name;
+    place.role = role;
+    place.zone = "z" + name.substr(1);
+    place.inner = inner(name);
+    place.http = place.inner.substr(0, place.inner.size() - 4) + "8000";
+    place.control = role == "hcore" ? control(name) : "";
+    place.seeds = {inner("c1"), inner("c2"), inner("c3")};
+    place.data = "data";
+    place.platform = "10.0.2.1:80";
+    place.founding = founding;
+    place.list_rate = 40;
+    logging::journal journal(
+        name, [this, name](const std::string&, const json& line) { lines[name].push_back(line["event"]); });
+    auto node = std::make_shared<Node>(world.runtime_of(name), place, journal, more...);
+    world.find(name).node = node;
+    world.runtime_of(name).spawn(
+        [](std::shared_ptr<Node> started) -> runtime::task<> { co_await started->start(); }(node));
+  }
+  void boot_core(const std::string& name, bool founding = true) {
+    std::shared_ptr<const dialect::dialect> speech = words;
+    boot<hcore::node>(name, "hcore", founding, speech);
+  }
+  void boot_store(const std::string& name) { boot<hstore::node>(name, "hstore", false); }
+  void boot_all() {
+    for (auto name : {"c1", "c2", "c3"}) boot_core(name);
+    for (auto name : {"s1", "s2", "s3"}) boot_store(name);
+  }
+  int logged(const std::string& event) {
+    int count = 0;
+    for (auto& [name, events] : lines)
+      count += static_cast<int>(std::count(events.begin(), events.end(), event));
+    return count;
+  }
+  std::size_t nodes_that(const std::string& event) {
+    std::size_t count = 0;
+    for (auto& [name, events] : lines)
+      count += std::find(events.begin(), events.end(), event) != events.end() ? 1 : 0;
+    return count;
+  }
+  using answer = std::shared_ptr<std::optional<runtime::http_receipt>>;
+  answer begin(const std::string& core, const std::string& method, const std::string& path,
+               const std::string& body = "", const std::string& base = "") {
+    auto out = std::make_shared<std::optional<runtime::http_receipt>>();
+    runtime::http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    if (!base.empty()) request.headers["X-Base-Version"] = base;
+    world.runtime_of("operator")
+        .spawn([](runtime::handle runtime, std::string address, runtime::http_request request,
+                  answer out) -> runtime::task<> {
+          auto result = co_await runtime::http_fetch(runtime, address, request, second);
+          auto* receipt = std::get_if<runtime::http_receipt>(&result);
+          out->emplace(receipt ? *receipt : runtime::http_receipt{0, {}, ""});
+        }(world.runtime_of("operator"), control(core), request, out));
+    return out;
+  }
+  runtime::http_receipt ask(const std::string& core, const std::string& method, const std::string& path,
+                            const std::string& body = "", const std::string& base = "") {
+    auto out = begin(core, method, path, body, base);
+    REQUIRE(world.run_until([&] { return out->has_value(); }, 5 * second));
+    return **out;
+  }
+  // As an operator does: again until there is a clear answer.
+  int status(const std::string& core, const std::string& method, const std::string& path,
+             const std::string& body = "", const std::string& base = "") {
+    for (int turn = 0; turn < 60; ++turn) {
+      int seen = ask(core, method, path, body, base).status;
+      if (seen > 0 && seen < 500) return seen;
+      world.run_for(250 * millisecond);
+    }
+    return 0;
+  }
+  static std::string table(int version, const std::string& label = "talk") {
+    json route{{"label", label},           {"authority", "a.example"}, {"path_prefix", "/" + label + "/"},
+               {"category", "idempotent"}, {"deadline_ms", 1000},      {"backend", "chat"}};
+    return json{{"generation", version},
+                {"routing", json::array({route})},
+                {"backends", json::array({{{"label", "chat"}, {"probe", "/health"}}})}}
+        .dump(1);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("three cores found one group from their seeds, and the storage group once") {
+  for (std::uint64_t seed : {1, 2, 3, 4}) {
+    control_site site(seed);
+    site.boot_all();
+    CHECK(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+    site.world.run_for(8 * second);
+    CHECK(site.logged("storage group founded") == 1);
+    CHECK(site.nodes_that("view installed") == 6);
+    for (auto core : {"c1", "c2", "c3"}) CHECK(site.ask(core, "GET", "/-/config/read").body == site.table(5));
+  }
+}
+
+TEST_CASE("a core that dies half-way through founding leaves one group to the others") {
+  // Every few hundred microseconds of the founding is a moment to die at.
+  for (int step = 0; step < 12; ++step) {
+    control_site site(20 + static_cast<std::uint64_t>(step));
+    site.boot_all();
+    REQUIRE(site.world.run_until([&] { return site.logged("view installed") > step % 3; }, 20 * second));
+    site.world.run_for(step * 150);
+    auto loss = step % 2 ? hsim::disk_loss::none : hsim::disk_loss::unsynced;
+    site.world.kill("c1", loss, true);
+    site.world.run_for(4 * second);
+    // A view that only the dead one has can't be told from none: the others wait for it to come back with
+    // what it had written. One that two have is finished without it.
+    bool standing = site.nodes_that("view installed") >= 2;
+    if (standing) CHECK(site.status("c2", "POST", "/-/config/replace", site.table(5), "0") == 200);
+    site.boot_core("c1", step % 4 < 2);
+    if (!standing) CHECK(site.status("c2", "POST", "/-/config/replace", site.table(5), "0") == 200);
+    site.world.run_for(6 * second);
+    CHECK(site.status("c1", "GET", "/-/config/read") == 200);
+    CHECK(site.ask("c1", "GET", "/-/config/read").body == site.table(5));
+    CHECK(site.logged("storage group founded") == 1);
+  }
+}
+
+TEST_CASE("a core that found nothing yet founds nothing without the first start's word") {
+  control_site site(3);
+  for (auto name : {"c1", "c2", "c3"}) site.boot_core(name, false);
+  site.world.run_for(15 * second);
+  CHECK(site.logged("view installed") == 0);
+  CHECK(site.ask("c1", "POST", "/-/config/replace", site.table(5), "0").status == 503);
+}
+
+TEST_CASE("the first core never comes up at the first moment, and another founds") {
+  control_site site(9);
+  for (auto name : {"c2", "c3", "s1", "s2", "s3"})
+    name[0] == 'c' ? site.boot_core(name) : site.boot_store(name);
+  site.world.run_for(5 * second);
+  // Without all seeds nobody can know them all: nothing is founded from a part of them.
+  CHECK(site.logged("view installed") == 0);
+  site.boot_core("c1");
+  CHECK(site.status("c3", "POST", "/-/config/replace", site.table(5), "0") == 200);
+}
+
+TEST_CASE("of two changes on top of one version one wins, and the winner's call may come again") {
+  for (std::uint64_t seed : {5, 6, 7, 8, 9, 10}) {
+    control_site site(seed);
+    site.boot_all();
+    REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+    auto one = site.begin("c1", "POST", "/-/config/replace", site.table(7, "one"), "5");
+    auto two = site.begin("c2", "POST", "/-/config/replace", site.table(8, "two"), "5");
+    REQUIRE(site.world.run_until([&] { return one->has_value() && two->has_value(); }, 5 * second));
+    auto first = site.status("c1", "POST", "/-/config/replace", site.table(7, "one"), "5");
+    auto second_end = site.status("c2", "POST", "/-/config/replace", site.table(8, "two"), "5");
+    CHECK(std::minmax(first, second_end) == std::minmax(200, 412));
+    auto expected = first == 200 ? site.table(7, "one") : site.table(8, "two");
+    CHECK(site.ask("c3", "GET", "/-/config/read").body == expected);
+    // Also once another change came after it.
+    auto base = first == 200 ? "7" : "8";
+    CHECK(site.status("c3", "POST", "/-/config/replace", site.table(20), base) == 200);
+    CHECK(site.status("c2", "POST", "/-/config/replace", expected, "5") == 200);
+    CHECK(site.ask("c1", "GET", "/-/config/read").body == site.table(20));
+  }
+}
+
+TEST_CASE("an invalid change is refused and changes nothing") {
+  control_site site(11);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  CHECK(site.status("c1", "POST", "/-/config/replace", "{", "5") == 400);
+  CHECK(site.status("c1", "POST", "/-/config/replace", site.table(5, "x"), "5") == 400);
+  CHECK(site.status("c1", "POST", "/-/config/replace", site.table(9), "") == 400);
+  CHECK(site.status("c1", "POST", "/-/config/replace", site.table(9), "4") == 412);
+  CHECK(site.ask("c2", "GET", "/-/config/read").body == site.table(5));
+  json change{{"generation", 9}, {"remove", {{"routing", json::array({"talk"})}}}};
+  CHECK(site.status("c2", "POST", "/-/config/amend", change.dump(), "5") == 200);
+  CHECK(site.status("c1", "POST", "/-/config/amend", change.dump(), "5") == 200);
+  auto got = json::parse(site.ask("c3", "GET", "/-/config/read").body);
+  CHECK(got["generation"] == 9);
+  CHECK(got["routing"].empty());
+}
+
+TEST_CASE("what was acknowledged is read back after all cores lost power") {
+  control_site site(12);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  REQUIRE(site.status("c2", "POST", "/-/evacuation/z1/begin") == 200);
+  for (auto name : {"c1", "c2", "c3"}) site.world.kill(name, hsim::disk_loss::unsynced, true);
+  for (auto name : {"c1", "c2", "c3"}) site.boot_core(name, false);
+  CHECK(site.status("c3", "GET", "/-/config/read") == 200);
+  CHECK(site.ask("c3", "GET", "/-/config/read").body == site.table(5));
+  CHECK(site.status("c1", "POST", "/-/config/replace", site.table(8), "5") == 200);
+  site.world.run_for(5 * second);
+  CHECK(site.logged("storage group founded") == 1);
+}
+
+TEST_CASE("calls are answered within the callers' patience while one core is frozen or dead") {
+  control_site site(13);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  site.world.run_for(5 * second);
+  site.world.freeze("c1");
+  CHECK(site.ask("c2", "POST", "/-/config/replace", site.table(6), "5").status == 200);
+  CHECK(site.ask("c3", "POST", "/-/evacuation/z2/begin").status == 200);
+  CHECK(site.ask("c3", "GET", "/-/config/read").body == site.table(6));
+  site.world.freeze("c2");
+  // Without a majority the answer comes in time, and promises nothing.
+  CHECK(site.ask("c3", "POST", "/-/config/replace", site.table(7), "6").status == 503);
+}
+
+TEST_CASE("evacuations may be asked for again, and every zone may be evacuated") {
+  control_site site(14);
+  site.boot_all();
+  for (auto path : {"/-/evacuation/z1/begin", "/-/evacuation/z1/begin", "/-/evacuation/z2/begin",
+                    "/-/evacuation/z3/begin", "/-/evacuation/z1/finish", "/-/evacuation/z1/finish"})
+    CHECK(site.status("c1", "POST", path) == 200);
+  CHECK(site.status("c1", "GET", "/-/config/read") == 404);
+}
+
+TEST_CASE("a storage machine is emptied once another can take its copies") {
+  control_site site(15);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  site.world.run_for(8 * second);
+  CHECK(site.status("c1", "POST", "/-/retire/s1/begin", "{\"over_s\":10}") == 409);
+  CHECK(site.status("c1", "POST", "/-/retire/s9/begin", "{\"over_s\":10}") == 404);
+  CHECK(site.status("c1", "GET", "/-/retire/s9/read") == 404);
+  site.boot_store("s4");
+  site.world.run_for(3 * second);
+  CHECK(site.status("c2", "POST", "/-/retire/s1/begin", "{\"over_s\":10}") == 200);
+  CHECK(site.status("c3", "POST", "/-/retire/s1/begin", "{\"over_s\":10}") == 200);
+  CHECK(site.ask("c1", "GET", "/-/retire/s1/read").body == "{\"phase\":\"rolling\"}");
+  CHECK(site.world.run_until(
+      [&] {
+        site.world.run_for(500 * millisecond);
+        return site.ask("c1", "GET", "/-/retire/s1/read").body == "{\"phase\":\"complete\"}";
+      },
+      30 * second));
+}
+
+TEST_CASE("one core reads the platform's pages and the others learn of the engines") {
+  control_site site(16);
+  site.page_two = json::array({{{"id", "i-1"}, {"backend", "chat"}, {"endpoint", "10.9.9.9:80"}}});
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  site.world.run_for(3 * second);
+  site.asked.clear();
+  site.world.run_for(10 * second);
+  // Two pages each 500 ms, from one core alone.
+  CHECK(site.asked.size() >= 30);
+  CHECK(site.asked.size() <= 42);
+  CHECK(site.logged("engine list changed") == 1);
+  auto page = site.ask("c1", "GET", "/-/config/read");
+  CHECK(page.status == 200);
+  site.list_status = 429;
+  site.world.run_for(3 * second);
+  CHECK(site.logged("engine list changed") == 1);
+}
