--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -38,6 +38,11 @@
   co_return false;
 }
 
+task<bool> install_chosen(proposer group, view chosen, microseconds deadline) {
+  std::vector<voter_place> nobody;
+  co_return co_await install_everywhere(group, std::move(chosen), nobody, deadline);
+}
+
 enum class filled { stored, gone, failed };
 
 static task<filled> fill_one(proposer group, std::string record, microseconds deadline) {
