Serve clients by the routing table through an adapter to the users' platform

The codec test took the version before this one for the last without the fields of version 3; it now names that version, and the neighbouring version has a case of its own. The simulated server lower-cases the names of a stream's head as a real connection does.

--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -41,8 +41,8 @@
   std::string id, service, address, zone, release;
   std::int64_t capacity = 1, cold_ms = 0;
   bool draining = false;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_engine, id, service, address, zone, release, capacity, cold_ms,
-                                              draining)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(listed_engine, id, service, address, zone, release, capacity,
+                                              cold_ms, draining)
 };
 struct list_page {
   std::vector<listed_engine> engines;
@@ -75,8 +75,8 @@
 struct unknown_command {
   bool known_path = false;  // the path stands for a call, but not with this method or body
 };
-using command = std::variant<unknown_command, change_command, read_command, evacuation_command, retire_command,
-                             retire_status_command>;
+using command = std::variant<unknown_command, change_command, read_command, evacuation_command,
+                             retire_command, retire_status_command>;
 
 // How a call ended; the dialect puts it into a status and a body.
 enum class result { done, rolling, stale, invalid, unknown_name, under_way, too_few, unreachable, unclear };
@@ -114,8 +114,8 @@
   std::function<command(const runtime::http_visit& request)> read_command;
   std::function<runtime::http_receipt(const command& asked, const reply_terms& terms)> write_reply;
   // A whole configuration, or a partial one laid over `current` (as sent); or what stands against it.
-  std::function<std::variant<configuration, std::vector<routing::fault>>(const std::optional<std::string>& current,
-                                                                         const change_command& change)>
+  std::function<std::variant<configuration, std::vector<routing::fault>>(
+      const std::optional<std::string>& current, const change_command& change)>
       read_configuration;
 };
 
--- /dev/null
+++ b/src/forward/door.cc
@@ -0,0 +1,115 @@
+#include "forward/door.h"
+
+#include "forward/door_state.h"
+
+namespace herontally::forward {
+
+door::door(runtime::handle runtime, logging::journal journal, std::shared_ptr<const dialect::dialect> speech,
+           ledger::programs programs, door_options choice)
+    : state_(std::make_shared<state>(runtime, journal, std::move(speech), std::move(programs),
+                                     std::move(choice))) {}
+
+void door::routing(routing::table table, std::set<std::string> evacuated) {
+  // A lower version never replaces a higher one.
+  if (state_->routed && table.version < state_->table.version) return;
+  state_->table = std::move(table);
+  state_->evacuated = std::move(evacuated);
+  state_->routed = true;
+  for (auto& each : state_->table.services)
+    if (each.model && !each.model->min_cached_token_delta)
+      each.model->min_cached_token_delta = state_->choice.min_cached_token_delta;
+  state_->wake();
+}
+
+void door::engines(const std::string& list, const std::vector<std::string>& leaving) {
+  if (!list.empty()) state_->engines.list(list, state_->runtime.now());
+  state_->engines.leaving(leaving);
+  state_->wake();
+}
+
+void door::nodes(std::int64_t count) { state_->nodes = std::max<std::int64_t>(1, count); }
+bool door::ready() const { return state_->routed && state_->engines.known() && !state_->leaving; }
+void door::leave() { state_->leaving = true; }
+std::int64_t door::under_way() const { return state_->under_way; }
+
+surroundings door::state::around() const { return {table, evacuated, choice.zone, nodes, runtime.now()}; }
+
+void door::state::refuse(const exchange_pointer& one, int status, const std::string& why,
+                         std::int64_t come_back) {
+  journal.count("herontally_refusals_total{reason=\"" + why + "\"}");
+  journal.debug("refused", {{"request", one->terms.attempt}, {"status", status}, {"why", why}});
+  runtime::http_receipt receipt;
+  receipt.status = status;
+  receipt.headers["Content-Type"] = "application/json";
+  receipt.body = nlohmann::json{{"error", why}}.dump() + "\n";
+  if (come_back > 0) speech->come_back(receipt.headers, come_back);
+  one->out->reply(std::move(receipt));
+}
+
+void door::state::wake() {
+  for (auto& each : room) each.set(true);
+  room.clear();
+}
+
+task<bool> door::state::wait_for_room(microseconds until) {
+  auto self = shared_from_this();
+  auto left = until - self->runtime.now();
+  if (left <= 0) co_return false;
+  runtime::slot<bool> bell(self->runtime);
+  self->room.push_back(bell);
+  // Cold rates and pauses after failures come free by time alone.
+  auto timer =
+      self->runtime.after(std::min<microseconds>(left, 50 * millisecond), [bell] { bell.set(true); });
+  co_await bell.wait();
+  self->runtime.cancel(timer);
+  std::erase_if(self->room, [](auto& each) { return each.is_set(); });
+  co_return true;
+}
+
+task<> door::serve(runtime::http_visit request, gateway::writer out) {
+  auto self = state_;
+  auto one = std::make_shared<exchange>();
+  one->arrived = self->runtime.now();
+  one->request = std::move(request);
+  one->out = out;
+  if (self->leaving) out->last_on_connection();
+  one->terms = self->speech->read_request(one->request.headers);
+  if (!self->routed || !self->engines.known()) {
+    self->refuse(one, 503, "nothing is in force here yet", 300);
+    co_return;
+  }
+  auto host = one->request.headers.find("host");
+  const auto* route =
+      self->table.match(host == one->request.headers.end() ? "" : host->second, one->request.path);
+  if (!route) {
+    self->refuse(one, 404, "no such route");
+    co_return;
+  }
+  one->route = *route;
+  const auto* service = draw_service(*route, self->table, self->runtime.random());
+  if (!service) {
+    self->refuse(one, 503, "the route has no service", 500);
+    co_return;
+  }
+  one->service = *service;
+  std::int64_t left = one->route.deadline;
+  if (one->terms.time_left >= 0) left = std::min(left, one->terms.time_left);
+  one->deadline = one->arrived + left * millisecond;
+  if (self->under_way >= self->choice.most_requests) {
+    self->refuse(one, 503, "too many requests", 200);
+    co_return;
+  }
+  ++self->under_way;
+  std::weak_ptr<exchange> weak = one;
+  if (out->on_gone)
+    out->on_gone([weak] {
+      auto here = weak.lock();
+      if (!here) return;
+      here->gone = true;
+      if (here->interrupt) here->interrupt();
+    });
+  co_await self->run(one);
+  --self->under_way;
+}
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/forward/door.h
@@ -0,0 +1,38 @@
+// Takes clients' requests by the routing table, sends each to an engine unchanged, and its answer back.
+#pragma once
+#include "dialect/dialect.h"
+#include "gateway/http.h"
+#include "ledger/programs.h"
+#include "logging/logging.h"
+#include "runtime/runtime.h"
+
+namespace herontally::forward {
+
+struct door_options {
+  std::string zone;
+  std::int64_t most_requests = 2000;
+  // A lead in cached tokens above which a source is named, for models whose table names none. Off: nothing.
+  std::optional<std::int64_t> min_cached_token_delta;
+};
+
+class door {
+ public:
+  door(runtime::handle runtime, logging::journal journal, std::shared_ptr<const dialect::dialect> speech,
+       ledger::programs programs, door_options choice);
+  // What is in force from now on.
+  void routing(routing::table table, std::set<std::string> evacuated);
+  void engines(const std::string& list, const std::vector<std::string>& leaving);
+  void nodes(std::int64_t count);
+  // Requests are served from here on; before, they are told when to come back.
+  bool ready() const;
+  // No more new connections: whoever is answered is told to open another one elsewhere.
+  void leave();
+  std::int64_t under_way() const;
+  runtime::task<> serve(runtime::http_visit request, gateway::writer out);
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/forward/plan.cc
@@ -0,0 +1,78 @@
+#include "forward/plan.h"
+
+#include <algorithm>
+
+namespace herontally::forward {
+
+std::vector<std::string> part_keys(const dialect::request_terms& terms, const routing::route& route) {
+  std::vector<std::string> keys;
+  // The model stands in front: what was computed under one model's weights is nothing to another.
+  std::string chain = terms.model;
+  for (auto& part : terms.parts) {
+    chain += "/" + part.id;
+    keys.push_back(chain);
+  }
+  if (keys.empty() && route.affine && !terms.affinity.empty()) keys.push_back("thing/" + terms.affinity);
+  return keys;
+}
+
+const routing::service* draw_service(const routing::route& route, const routing::table& table,
+                                     std::mt19937_64& random) {
+  std::int64_t total = 0;
+  for (auto& each : route.targets) total += std::max<std::int64_t>(0, each.share);
+  if (total <= 0) return nullptr;
+  auto drawn = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(total));
+  for (auto& each : route.targets) {
+    drawn -= std::max<std::int64_t>(0, each.share);
+    if (drawn < 0) return table.find_service(each.service);
+  }
+  return nullptr;
+}
+
+static std::int64_t tokens_before(const dialect::request_terms& terms, std::size_t parts) {
+  std::int64_t tokens = 0;
+  if (terms.parts.empty()) return static_cast<std::int64_t>(parts);
+  for (std::size_t position = 0; position < parts && position < terms.parts.size(); ++position)
+    tokens += terms.parts[position].tokens;
+  return tokens;
+}
+
+std::variant<plan, unplanned> make_plan(const subject& asked, roster& engines, const surroundings& around,
+                                        std::mt19937_64& random) {
+  plan made;
+  made.version = around.table.version;
+  made.attempt = asked.attempt;
+  made.parts = part_keys(asked.terms, asked.route);
+  auto all = engines.candidates(asked.service, around.evacuated, around.zone, around.nodes, around.now);
+  for (auto& each : all)
+    each.cached_blocks = static_cast<std::size_t>(
+        tokens_before(asked.terms, engines.kept().leading(each.number, made.parts, around.now)));
+  placement::question question;
+  // Lengths are known by part, so that a block is one token here.
+  question.block_tokens = 1;
+  question.prompt_tokens = static_cast<std::size_t>(tokens_before(asked.terms, made.parts.size()));
+  std::int64_t capacity = 1;
+  for (auto& each : all) capacity = std::max(capacity, engines.row(each.number).listed.capacity);
+  // Loads are counted in steps (see the roster); an engine with all its places taken by us is not free.
+  question.most_at_once = capacity / std::max<std::int64_t>(1, capacity / 16);
+  question.warm_seconds = 0;  // cold engines are held back by their rate
+  if (asked.service.model) question.min_cached_token_delta = asked.service.model->min_cached_token_delta;
+  question.avoid = asked.avoid;
+  auto choice = placement::place(question, all, random);
+  if (!choice) return placement::could_serve(question, all) ? unplanned::busy : unplanned::hopeless;
+  auto& destination = all[choice->destination];
+  made.engine = destination.number;
+  made.engine_id = destination.name;
+  made.address = destination.address;
+  made.cached_tokens = static_cast<std::int64_t>(destination.cached_blocks);
+  if (choice->source) {
+    made.source = all[*choice->source].name;
+    made.source_tokens = static_cast<std::int64_t>(choice->source_blocks);
+  }
+  // All nodes together stay under the engine's cap, also while some more are being added.
+  made.connections = static_cast<std::size_t>(
+      std::max<std::int64_t>(2, asked.service.connections / (std::max<std::int64_t>(1, around.nodes) + 2)));
+  return made;
+}
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/forward/plan.h
@@ -0,0 +1,51 @@
+// The plan of one attempt: which engine takes a request and who could lend it what it lacks. Made as data,
+// without I/O, then carried out as it stands.
+#pragma once
+#include <random>
+
+#include "forward/roster.h"
+
+namespace herontally::forward {
+
+struct surroundings {
+  const routing::table& table;
+  const std::set<std::string>& evacuated;
+  std::string zone;
+  std::int64_t nodes = 1;  // that share the engines' caps, this one included
+  microseconds now = 0;
+};
+
+struct subject {
+  const routing::route& route;
+  const routing::service& service;
+  const dialect::request_terms& terms;
+  std::vector<names::index> avoid;
+  int attempt = 1;
+};
+
+struct plan {
+  std::int64_t version = 0;  // of the routing table that it was made under
+  int attempt = 1;
+  names::index engine = 0;
+  std::string engine_id, address;
+  std::optional<std::string> source;  // an engine that holds enough more of the prompt
+  std::int64_t cached_tokens = 0, source_tokens = 0;
+  std::vector<std::string> parts;  // what the engine keeps afterwards, in the prefix index's keys
+  std::size_t connections = 1;     // to this engine, of this node
+};
+
+// Why there is no plan: engines are busy or out of use for a moment, or none is there that could take it.
+enum class unplanned { busy, hopeless };
+
+// Keys of the prompt's parts, each chained to those before it and to the model: a part counts as kept only
+// behind all that stands before it.
+std::vector<std::string> part_keys(const dialect::request_terms& terms, const routing::route& route);
+
+std::variant<plan, unplanned> make_plan(const subject& asked, roster& engines, const surroundings& around,
+                                        std::mt19937_64& random);
+
+// One of a route's services, drawn by their shares.
+const routing::service* draw_service(const routing::route& route, const routing::table& table,
+                                     std::mt19937_64& random);
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/forward/roster.cc
@@ -0,0 +1,131 @@
+#include "forward/roster.h"
+
+#include <algorithm>
+
+namespace herontally::forward {
+
+using runtime::millisecond;
+using runtime::second;
+
+roster::roster() : kept_({4000, 120 * second}) {}
+
+void roster::list(const std::string& text, microseconds now) {
+  auto document = nlohmann::json::parse(text, nullptr, false);
+  if (!document.is_array()) return;
+  known_ = true;
+  for (auto& each : rows_) each.present = false;
+  by_service_.clear();
+  for (auto& entry : document) {
+    auto listed = entry.get<dialect::listed_engine>();
+    auto found = by_id_.find(listed.id);
+    if (found == by_id_.end()) {
+      found = by_id_.emplace(listed.id, static_cast<names::index>(rows_.size())).first;
+      rows_.emplace_back();
+      rows_.back().number = found->second;
+    }
+    auto& row = rows_[found->second];
+    row.present = true;
+    // The list tells how long it stays cold from when the list was made, which lies a while back.
+    if (listed.cold_ms > 0) row.cold_until = std::max(row.cold_until, now + listed.cold_ms * millisecond);
+    row.listed = std::move(listed);
+    by_service_[row.listed.service].push_back(row.number);
+  }
+  for (auto& each : rows_)
+    if (!each.present) kept_.forget(each.number);
+}
+
+void roster::leaving(const std::vector<std::string>& ids) {
+  for (auto& each : rows_) each.leaving = std::find(ids.begin(), ids.end(), each.listed.id) != ids.end();
+}
+
+// A cold engine bears so many requests a second from all nodes together. Each node takes its part of that
+// over every second that slides by; a part below one still lets one through now and then.
+bool roster::may_take_cold(engine_row& row, const routing::service& service, std::int64_t nodes,
+                           microseconds now) {
+  if (service.cold_rate <= 0 || now >= row.cold_until) return true;
+  while (!row.cold_sends.empty() && now - row.cold_sends.front() >= second) row.cold_sends.pop_front();
+  auto part = std::max<std::int64_t>(
+      1, static_cast<std::int64_t>(service.cold_rate) / std::max<std::int64_t>(1, nodes));
+  return static_cast<std::int64_t>(row.cold_sends.size()) < part;
+}
+
+std::vector<placement::engine> roster::candidates(const routing::service& service,
+                                                  const std::set<std::string>& evacuated,
+                                                  const std::string& zone, std::int64_t nodes,
+                                                  microseconds now) {
+  std::vector<placement::engine> engines;
+  auto found = by_service_.find(service.name);
+  if (found == by_service_.end()) return engines;
+  for (auto number : found->second) {
+    auto& row = rows_[number];
+    placement::engine each;
+    each.number = number;
+    each.zone = row.listed.zone;
+    each.address = row.listed.address;
+    each.name = row.listed.id;
+    each.draining = row.listed.draining || row.leaving;
+    each.evacuated = evacuated.count(row.listed.zone) > 0;
+    // Out of use for a while after failures; then one request tries it.
+    bool down = now < row.down_until || (row.on_trial && row.ours > 0);
+    each.live = row.present && !down && may_take_cold(row, service, nodes, now);
+    // Engines whose loads differ by less than a step of their capacity are alike: what they keep decides
+    // then.
+    std::int64_t step = std::max<std::int64_t>(1, row.listed.capacity / 16);
+    each.reported = row.ours / step;
+    each.waitlist = row.ours;
+    bool near = row.listed.zone == zone, warm = row.last_answer >= 0 && now - row.last_answer < 3 * second;
+    each.nearness = (near ? 2 : 0) + (warm ? 1 : 0);
+    engines.push_back(std::move(each));
+  }
+  return engines;
+}
+
+std::size_t roster::usable(const std::string& service, const std::set<std::string>& evacuated,
+                           microseconds now) const {
+  std::size_t count = 0;
+  auto found = by_service_.find(service);
+  if (found == by_service_.end()) return 0;
+  for (auto number : found->second) {
+    auto& row = rows_[number];
+    bool out =
+        row.listed.draining || row.leaving || evacuated.count(row.listed.zone) > 0 || now < row.down_until;
+    count += row.present && !out ? 1 : 0;
+  }
+  return count;
+}
+
+void roster::sent(names::index number, microseconds now) {
+  auto& row = rows_[number];
+  ++row.ours;
+  // Counted whether cold or not: it may have turned cold without a word.
+  row.cold_sends.push_back(now);
+  while (now - row.cold_sends.front() >= second) row.cold_sends.pop_front();
+}
+
+void roster::ended(names::index number) { --rows_[number].ours; }
+
+void roster::answered(names::index number, const dialect::answer_terms& terms, microseconds now) {
+  auto& row = rows_[number];
+  row.failures = 0;
+  row.on_trial = false;
+  row.last_answer = now;
+  if (terms.cold_ms > 0) row.cold_until = std::max(row.cold_until, now + terms.cold_ms * millisecond);
+}
+
+void roster::failed(names::index number, bool hard, microseconds now) {
+  auto& row = rows_[number];
+  ++row.failures;
+  row.last_answer = -1;
+  // A single broken answer happens to the best; nothing listening at all does not.
+  if (!hard && row.failures < 2) return;
+  microseconds pause = std::min<microseconds>(4 * second, (250 * millisecond) << std::min(row.failures, 5));
+  row.down_until = now + pause;
+  row.on_trial = true;
+}
+
+void roster::gone(names::index number) {
+  rows_[number].down_until = rows_[number].down_until + 3600 * second;
+  kept_.forget(number);
+}
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/forward/roster.h
@@ -0,0 +1,65 @@
+// The engines as this node knows them: the platform's list, and what its own requests have seen.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "dialect/dialect.h"
+#include "placement/placement.h"
+#include "prefix/prefix.h"
+
+namespace herontally::forward {
+
+using runtime::microseconds;
+
+// One life of one engine. A row is never used for another engine again.
+struct engine_row {
+  names::index number = 0;
+  dialect::listed_engine listed;
+  bool present = false;   // on the newest list
+  bool leaving = false;   // by its own word, or by a look of our agent's
+  std::int64_t ours = 0;  // our requests under way there
+  microseconds cold_until = 0, down_until = 0, seen_at = 0;
+  int failures = 0;                     // in a row
+  std::deque<microseconds> cold_sends;  // within the last second
+  microseconds last_answer = -1;        // an idle connection is likely while this is recent
+  // A seat for a trial is taken after a time out of use: one request finds out for the others.
+  bool on_trial = false;
+};
+
+class roster {
+ public:
+  roster();
+  // The list as news brings it: JSON of dialect::listed_engine.
+  void list(const std::string& text, microseconds now);
+  void leaving(const std::vector<std::string>& ids);
+  bool known() const { return known_; }
+  engine_row& row(names::index number) { return rows_[number]; }
+  const std::vector<engine_row>& rows() const { return rows_; }
+  prefix::index& kept() { return kept_; }
+  // What placement looks at, for one service. `nodes`: who share the engines' caps with us.
+  std::vector<placement::engine> candidates(const routing::service& service,
+                                            const std::set<std::string>& evacuated, const std::string& zone,
+                                            std::int64_t nodes, microseconds now);
+  std::size_t usable(const std::string& service, const std::set<std::string>& evacuated,
+                     microseconds now) const;
+
+  void sent(names::index number, microseconds now);
+  void ended(names::index number);
+  void answered(names::index number, const dialect::answer_terms& terms, microseconds now);
+  // `hard`: nothing listens there, or another engine does.
+  void failed(names::index number, bool hard, microseconds now);
+  // Another life answers at its address.
+  void gone(names::index number);
+
+ private:
+  bool may_take_cold(engine_row& row, const routing::service& service, std::int64_t nodes, microseconds now);
+  std::vector<engine_row> rows_;
+  std::map<std::string, names::index> by_id_;
+  std::map<std::string, std::vector<names::index>> by_service_;
+  prefix::index kept_;
+  bool known_ = false;
+};
+
+}  // namespace herontally::forward
--- /dev/null
+++ b/src/hproxy/door.cc
@@ -0,0 +1,55 @@
+// The proxy's side towards the users' platform, where an adapter gives its words.
+#include "hproxy/node_state.h"
+
+namespace herontally::hproxy {
+
+std::optional<std::string> node::state::open_door() {
+  forward::door_options choice;
+  choice.zone = place.zone;
+  choice.min_cached_token_delta = to.min_cached_token_delta;
+  door.emplace(runtime, journal, to.speech, ledger::programs(stores), choice);
+  std::weak_ptr<state> weak = weak_from_this();
+  bool clients = runtime.http_serve(place.ingress, [weak](runtime::http_visit request, gateway::writer out) {
+    auto here = weak.lock();
+    if (here) here->runtime.spawn(here->door->serve(std::move(request), std::move(out)));
+  });
+  if (!clients) return "ingress can't be listened on: " + place.ingress;
+  bool asked = runtime.http_serve(place.readiness, [weak](runtime::http_visit request, gateway::writer out) {
+    auto here = weak.lock();
+    if (!here) return;
+    // Without a view of the ledger's stores no turn could be taken.
+    bool ready = here->door->ready() && here->stores.current().number > 0;
+    bool known = request.path == here->to.speech->ready_path;
+    runtime::http_receipt receipt;
+    receipt.status = !known ? 404 : ready ? 200 : 503;
+    out->reply(std::move(receipt));
+  });
+  if (!asked) return "readiness can't be listened on: " + place.readiness;
+  return std::nullopt;
+}
+
+void node::state::tell_door(const wire::news_receipt& receipt, bool changed) {
+  if (changed && desired && desired->routing) door->routing(*desired->routing, desired->evacuated_zones);
+  door->engines(receipt.engines, receipt.leaving);
+  std::int64_t live = 0;
+  for (auto& each : members)
+    if (each.role == "hproxy" && (each.status == "alive" || each.status == "suspect")) ++live;
+  door->nodes(live);
+  // Readiness asks for the view of the stores before any client does.
+  if (stores.current().number == 0) runtime.spawn(stores.refresh(runtime.now() + second));
+}
+
+task<> node::state::close_door() {
+  auto self = shared_from_this();
+  self->door->leave();
+  // New connections come until the platform has missed our readiness twice.
+  co_await self->runtime.sleep(std::min<microseconds>(2500, self->place.notice_milliseconds / 2) *
+                               millisecond);
+  auto last = self->runtime.now() + (self->place.notice_milliseconds - 3200) * millisecond;
+  while (self->door->under_way() > 0 && self->runtime.now() < last)
+    co_await self->runtime.sleep(50 * millisecond);
+  // The last answers' bytes are still on their way out.
+  co_await self->runtime.sleep(100 * millisecond);
+}
+
+}  // namespace herontally::hproxy
--- a/src/hproxy/node.cc
+++ b/src/hproxy/node.cc
@@ -6,20 +6,22 @@
 
 namespace herontally::hproxy {
 
-node::state::state(runtime::handle handle, settings::settings given, logging::journal lines)
+node::state::state(runtime::handle handle, settings::settings given, logging::journal lines, adapted spoken)
     : runtime(handle),
       place(std::move(given)),
       journal(lines),
       port(handle, place.name, lines),
       stores(port, "store"),
       book(stores, [this](const std::string& owner, std::int64_t life) { return is_gone(owner, life); }),
+      to(std::move(spoken)),
       engines(handle, lines),
       incarnation(handle.wall()) {
   if (place.speaks > 0) port.speak(place.speaks);
 }
 
-node::node(runtime::handle runtime, settings::settings place, logging::journal journal)
-    : state_(std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal))) {}
+node::node(runtime::handle runtime, settings::settings place, logging::journal journal, adapted to)
+    : state_(
+          std::make_shared<state>(std::move(runtime), std::move(place), std::move(journal), std::move(to))) {}
 node::~node() = default;
 
 task<std::optional<std::string>> node::start() {
@@ -41,7 +43,12 @@
   self->engines.on_report([weak] {
     if (auto here = weak.lock()) here->wake_room();
   });
-  self->engines.start();
+  if (self->to.speech) {
+    auto fault = self->open_door();
+    if (fault) co_return fault;
+  } else {
+    self->engines.start();
+  }
   self->runtime.spawn(self->feed());
   if (!self->port.listen(self->place.inner)) co_return "inner can't be listened on: " + self->place.inner;
   self->port.on<wire::trace_ask>([weak](wire::trace_ask question) -> task<wire::trace_receipt> {
@@ -65,6 +72,10 @@
 task<> node::leave() {
   auto self = state_;
   self->leaving = true;
+  if (self->door) {
+    co_await self->close_door();
+    co_return;
+  }
   auto until = self->runtime.now() + (self->place.notice_milliseconds - 200) * millisecond;
   while (self->visits > 0 && self->runtime.now() < until) co_await self->runtime.sleep(50 * millisecond);
 }
@@ -110,15 +121,17 @@
   if (!receipt.engines.empty()) {
     engines_epoch = receipt.engines_epoch;
     engines_sequence = receipt.engines_sequence;
-    engines.list(receipt.engines);
+    if (!door) engines.list(receipt.engines);
   }
-  engines.leaving(receipt.leaving);
+  if (!door) engines.leaving(receipt.leaving);
+  bool changed = false;
   // A lower revision never replaces a higher one.
   if (!receipt.state.empty() && receipt.revision > revision) {
     auto content = desired::from_text(receipt.state);
     if (content) {
       desired = desired::state_of(*content);
       revision = content->revision;
+      changed = true;
       trace.push_back({revision, "in force", "agent", runtime.wall()});
       if (trace.size() > 500) trace.erase(trace.begin(), trace.begin() + 250);
       journal.info("desired state in force", {{"revision", revision}});
@@ -127,6 +140,7 @@
     }
   }
   if (desired) count_doors();
+  if (door) tell_door(receipt, changed);
   // The agent vouches for its knowledge as of some moment before it answered; we count from our question.
   if (receipt.age_milliseconds >= 0 && revision >= receipt.revision)
     fresh_at = std::max(fresh_at, asked - receipt.age_milliseconds * millisecond);
--- a/src/hproxy/node.h
+++ b/src/hproxy/node.h
@@ -1,14 +1,22 @@
 // An edge machine's door: takes callers' visits, asks the ledger, plans, carries out.
 #pragma once
+#include "dialect/dialect.h"
 #include "logging/logging.h"
 #include "runtime/runtime.h"
 #include "settings/settings.h"
 
 namespace herontally::hproxy {
 
+// How requests are taken where an adapter gives the surroundings' words.
+struct adapted {
+  std::shared_ptr<const dialect::dialect> speech;
+  // A lead in cached tokens from which a source is named; nothing: no source is.
+  std::optional<std::int64_t> min_cached_token_delta;
+};
+
 class node {
  public:
-  node(runtime::handle runtime, settings::settings place, logging::journal journal);
+  node(runtime::handle runtime, settings::settings place, logging::journal journal, adapted to = {});
   ~node();
   runtime::task<std::optional<std::string>> start();
   runtime::task<> leave();
--- a/src/hproxy/node_state.h
+++ b/src/hproxy/node_state.h
@@ -1,5 +1,6 @@
 // Internal to hproxy.
 #pragma once
+#include "forward/door.h"
 #include "gateway/http.h"
 #include "gateway/plan.h"
 #include "hproxy/node.h"
@@ -68,6 +69,8 @@
   wire::port port;
   reg::proposer stores;
   ledger::book book;
+  adapted to;
+  std::optional<forward::door> door;  // clients' requests by the routing table, where there is an adapter
   engine::watch engines;
   prefix::index held;
   std::optional<desired::state> desired;
@@ -85,8 +88,12 @@
   std::vector<wire::trace_event> trace;
   std::map<std::string, ledger::turn_content> contents;  // immutable, so a copy is as good
 
-  state(runtime::handle handle, settings::settings given, logging::journal lines);
+  state(runtime::handle handle, settings::settings given, logging::journal lines, adapted spoken);
   bool fresh() const;
+  // The addresses that the adapter's settings name; what stands in the way, if anything.
+  std::optional<std::string> open_door();
+  task<> close_door();
+  void tell_door(const wire::news_receipt& receipt, bool changed);
   bool is_gone(const std::string& owner, std::int64_t life) const;
   void take_news(const wire::news_receipt& receipt, microseconds asked);
   void take_members(const std::string& text);
--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -54,6 +54,17 @@
                exchange->last_arrival);
 }
 
+// Whoever receives a head finds its names in lower case, as over a real connection.
+static rt::http_head head_of(int status, const std::map<std::string, std::string>& headers) {
+  rt::http_head head{status, {}};
+  for (auto& [name, value] : headers) {
+    std::string lower = name;
+    for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
+    head.headers[lower] = value;
+  }
+  return head;
+}
+
 static std::shared_ptr<rt::http_writer> make_writer(std::weak_ptr<world::state> weak,
                                                     std::shared_ptr<http_exchange> exchange) {
   auto writer = std::make_shared<rt::http_writer>();
@@ -64,18 +75,12 @@
   writer->reply = [send, exchange](rt::http_receipt receipt) {
     if (std::exchange(exchange->replied, true)) return;
     exchange->on_gone = nullptr;
-    rt::http_head head{receipt.status, {}};
-    for (auto& [name, value] : receipt.headers) {
-      std::string lower = name;
-      for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
-      head.headers[lower] = value;
-    }
-    send(head, 100);
+    send(head_of(receipt.status, receipt.headers), 100);
     if (!receipt.body.empty()) send(rt::http_piece{receipt.body}, receipt.body.size());
     send(rt::http_end{}, 0);
   };
   writer->start = [send](int status, std::map<std::string, std::string> headers) {
-    send(rt::http_head{status, std::move(headers)}, 100);
+    send(head_of(status, headers), 100);
   };
   writer->piece = [send](std::string bytes) {
     auto size = bytes.size();
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -152,6 +152,9 @@
   std::int64_t most = 0;
   for (std::size_t position : equals) most = std::max(most, tokens(asked, engines[position]));
   std::erase_if(equals, [&](std::size_t position) { return tokens(asked, engines[position]) < most; });
+  double nearest = 0;
+  for (std::size_t position : equals) nearest = std::max(nearest, engines[position].nearness);
+  std::erase_if(equals, [&](std::size_t position) { return engines[position].nearness < nearest; });
   // Equals are drawn, so that many doors with the same view don't all choose the same engine.
   made.destination = equals[random() % equals.size()];
   name_source(asked, engines, random, made);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -27,6 +27,7 @@
   double age_seconds = 1e9;       // since this life of it was first seen ready
   std::size_t cached_blocks = 0;  // believed leading blocks of the prompt at hand
   double belief = 1;
+  double nearness = 0;  // decides between engines alike in load and in what they keep: the larger
 };
 
 struct question {
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -1,4 +1,5 @@
-// Which request goes to which service, and on what terms: part of the desired state, in the product's own form.
+// Which request goes to which service, and on what terms: part of the desired state, in the product's own
+// form.
 #pragma once
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -28,8 +29,8 @@
   bool kept = false;       // the system holds what was said and builds the prompt from it
   bool affine = false;     // an engine that has seen the thing lately works faster
   bool resumable = false;  // a cut stream may be gone on with at another engine
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(route, name, host, prefix, kind, deadline, aim, urgency, tries, gap,
-                                              keep, targets, kept, affine, resumable)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(route, name, host, prefix, kind, deadline, aim, urgency, tries,
+                                              gap, keep, targets, kept, affine, resumable)
 };
 
 // What a model engine is made of. Tokens and tokens per event.
@@ -41,15 +42,16 @@
 
 struct service {
   std::string name, probe;
-  std::int64_t connections = 64;          // of all callers together
+  std::int64_t connections = 64;           // of all callers together
   double cold_seconds = 0, cold_rate = 0;  // requests a second that a cold engine bears; 0: no bound
   std::optional<model_engine> model;
 };
 
 // What a client may send: bytes and milliseconds.
 struct limits {
-  std::int64_t header_bytes = 16384, body_bytes = 4 << 20, header_patience = 3000, idle_patience = 15000;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(limits, header_bytes, body_bytes, header_patience, idle_patience)
+  std::int64_t largest_head = 16384, largest_body = 4 << 20, header_patience = 3000, idle_patience = 15000;
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(limits, largest_head, largest_body, header_patience,
+                                              idle_patience)
 };
 
 struct table {
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -10,14 +10,13 @@
 namespace herontally::runtime {
 
 // `Node` has start(), which tells what stands in the way, and leave(), which is bounded by the notice.
-template <class Node>
-int run_program(int count, char** words, const std::string& role, const std::string& purpose) {
-  auto place = settings::from_command_line(count, words, role, purpose);
+template <class Node, class... Extra>
+int run_place(settings::settings place, const std::string& role, Extra... extra) {
   logging::start(role, place.log_level);
   real loop(place.data);
   logging::journal journal(place.name);
   std::optional<Node> node;
-  node.emplace(loop.runtime(), place, journal);
+  node.emplace(loop.runtime(), place, journal, extra...);
   int code = 0;
   auto begin = [](Node* started, real* owner, int* result, std::string name) -> task<> {
     auto fault = co_await started->start();
@@ -45,4 +44,9 @@
   return code;
 }
 
+template <class Node>
+int run_program(int count, char** words, const std::string& role, const std::string& purpose) {
+  return run_place<Node>(settings::from_command_line(count, words, role, purpose), role);
+}
+
 }  // namespace herontally::runtime
--- a/src/runtime/real_channels.cc
+++ b/src/runtime/real_channels.cc
@@ -14,7 +14,7 @@
 namespace herontally::runtime {
 
 namespace {
-constexpr std::size_t header_bytes = 13;
+constexpr std::size_t frame_head = 13;
 enum : unsigned char { kind_question = 0, kind_receipt = 1 };
 
 }  // namespace
@@ -56,7 +56,7 @@
 
 // A frame goes straight to the kernel when nothing waits before it; an error is left for the loop to find.
 static void write_frame(channel* self, std::uint64_t number, unsigned char kind, const std::string& payload) {
-  unsigned char head[header_bytes];
+  unsigned char head[frame_head];
   std::uint32_t length = htonl(static_cast<std::uint32_t>(payload.size()));
   memcpy(head, &length, 4);
   memcpy(head + 4, &number, 8);
@@ -89,16 +89,16 @@
 
 // False closes the channel: the other side doesn't speak our framing.
 static bool take_frame(channel* self, evbuffer* input) {
-  unsigned char head[header_bytes];
+  unsigned char head[frame_head];
   evbuffer_copyout(input, head, sizeof head);
   std::uint32_t length;
   memcpy(&length, head, 4);
   length = ntohl(length);
   if (length > largest_frame || head[12] > kind_receipt) return false;
-  if (evbuffer_get_length(input) < header_bytes + length) return true;
+  if (evbuffer_get_length(input) < frame_head + length) return true;
   std::uint64_t exchange;
   memcpy(&exchange, head + 4, 8);
-  evbuffer_drain(input, header_bytes);
+  evbuffer_drain(input, frame_head);
   std::string payload(length, '\0');
   evbuffer_remove(input, payload.data(), length);
   if (head[12] == kind_receipt) {
@@ -131,7 +131,7 @@
   std::uint64_t number = self->number;
   ++self->reads;
   evbuffer* input = bufferevent_get_input(stream);
-  while (part->channels.count(number) && evbuffer_get_length(input) >= header_bytes) {
+  while (part->channels.count(number) && evbuffer_get_length(input) >= frame_head) {
     std::size_t before = evbuffer_get_length(input);
     if (!take_frame(self, input)) return close_channel(part, number, channel_error::closed);
     if (!part->channels.count(number) || evbuffer_get_length(input) == before) return;
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -120,6 +120,12 @@
 
 task<std::optional<http_event>> http_stream::next(microseconds timeout) { return events_.pop(timeout); }
 
+void http_stream::interrupt() {
+  // Static, since g++ 12 takes parts of a local variant for uninitialised.
+  static const http_event failure = http_failure{};
+  events_.push(failure);
+}
+
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
                               microseconds timeout) {
   microseconds deadline = runtime.now() + timeout;
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -117,6 +117,8 @@
   ~http_stream();
   http_stream(const http_stream&) = delete;
   task<std::optional<http_event>> next(microseconds timeout);
+  // Whoever waits for the next event is given a failure.
+  void interrupt();
 
  private:
   handle runtime_;
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -5,14 +5,14 @@
 
 namespace herontally::simengine {
 
-next_token token_after(const std::vector<std::int64_t>& tokens) {
+next_output token_after(const std::vector<std::int64_t>& tokens) {
   std::uint64_t hash = 1469598103934665603ull;
   for (auto token : tokens) {
     hash ^= static_cast<std::uint64_t>(token);
     hash *= 1099511628211ull;
     hash ^= hash >> 29;
   }
-  next_token next;
+  next_output next;
   next.id = static_cast<std::int64_t>(hash % 50021);
   next.text = "w" + std::to_string(next.id) + " ";
   next.last = hash % 41 == 0;
--- a/src/simengine/node.h
+++ b/src/simengine/node.h
@@ -32,12 +32,12 @@
 };
 
 // The text that a model gives: a function of the tokens before it alone, so that anybody can check it.
-struct next_token {
+struct next_output {
   std::int64_t id = 0;
   std::string text;
   bool last = false;
 };
-next_token token_after(const std::vector<std::int64_t>& tokens);
+next_output token_after(const std::vector<std::int64_t>& tokens);
 std::string block_payload(const std::string& hash, std::size_t bytes);
 
 class node {
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -82,7 +82,8 @@
   receipt.engines = "[]";
   receipt.engines_age_milliseconds = 12;
   receipt.leaving = {"e1"};
-  int older = wire::protocol_version - 1;
+  // The last version without these fields.
+  constexpr int older = 2;
   auto bytes = std::get<std::string>(wire::encode("news_receipt", receipt, older));
   auto read = std::get<nlohmann::json>(wire::decode("news_receipt", bytes, older)).get<wire::news_receipt>();
   REQUIRE(read.revision == 7);
@@ -101,3 +102,20 @@
           .get<wire::news_receipt>();
   REQUIRE(front.revision == 7);
 }
+
+TEST_CASE("the version next to this one is read both ways") {
+  constexpr int older = wire::protocol_version - 1;
+  wire::content_put put;
+  put.voter = "v";
+  put.digest = "d";
+  put.body = "b";
+  put.view = 5;
+  auto bytes = std::get<std::string>(wire::encode("content_put", put, older));
+  auto read = std::get<nlohmann::json>(wire::decode("content_put", bytes, older)).get<wire::content_put>();
+  REQUIRE(read.body == "b");
+  REQUIRE(read.view == 0);
+  REQUIRE(std::holds_alternative<wire::codec_error>(wire::decode("content_put", bytes)));
+  auto whole = std::get<std::string>(wire::encode("content_put", put));
+  auto front = std::get<nlohmann::json>(wire::decode("content_put", whole, older)).get<wire::content_put>();
+  REQUIRE(front.digest == "d");
+}
--- /dev/null
+++ b/tests/forward_test.cc
@@ -0,0 +1,178 @@
+// Events as they pass, and the plan of an attempt.
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "forward/events.h"
+#include "forward/plan.h"
+
+using namespace herontally;
+using runtime::millisecond;
+using runtime::second;
+
+TEST_CASE("events are counted and gathered however they are cut") {
+  std::string stream =
+      ": hello\n\nid: 1\ndata: one\n\nid: 2\ndata: two\ndata: more\n\nid:3\ndata:\n\nid: 4\r\ndata: "
+      "x\r\n\r\n";
+  std::mt19937_64 random(7);
+  for (int turn = 0; turn < 200; ++turn) {
+    forward::event_scanner scanner(true);
+    std::size_t from = 0;
+    while (from < stream.size()) {
+      std::size_t length = 1 + random() % 7;
+      scanner.feed(stream.substr(from, length));
+      from += length;
+    }
+    REQUIRE(scanner.events() == 4);
+    REQUIRE(scanner.data() == "one\ntwo\nmore\n\nx\n");
+    REQUIRE(scanner.last_id() == "4");
+    REQUIRE(scanner.between_events());
+  }
+}
+
+TEST_CASE("an event counts once it is whole") {
+  forward::event_scanner scanner(false);
+  scanner.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n");
+  CHECK(scanner.events() == 1);
+  CHECK_FALSE(scanner.between_events());
+  scanner.feed("\n");
+  CHECK(scanner.events() == 2);
+  CHECK(scanner.data().empty());
+}
+
+namespace {
+
+struct setting {
+  routing::table table;
+  std::set<std::string> evacuated;
+  forward::roster engines;
+  std::mt19937_64 random{3};
+  runtime::microseconds now = 100 * second;
+  nlohmann::json listed = nlohmann::json::array();
+
+  setting() {
+    routing::service service;
+    service.name = "s";
+    service.connections = 60;
+    service.cold_rate = 12;
+    table.services = {service};
+    routing::route route;
+    route.name = "r";
+    route.targets = {{"s", 1}};
+    table.routes = {route};
+  }
+  void engine(const std::string& id, const std::string& zone, std::int64_t capacity = 64,
+              std::int64_t cold = 0) {
+    listed.push_back(dialect::listed_engine{id, "s", "10.0.0.1:80", zone, "", capacity, cold, false});
+    engines.list(listed.dump(), now);
+  }
+  std::variant<forward::plan, forward::unplanned> plan(dialect::request_terms terms = {}) {
+    forward::subject asked{table.routes[0], table.services[0], terms, {}, 1};
+    forward::surroundings around{table, evacuated, "a", 3, now};
+    return forward::make_plan(asked, engines, around, random);
+  }
+  std::string chosen(dialect::request_terms terms = {}) {
+    auto made = plan(std::move(terms));
+    auto* found = std::get_if<forward::plan>(&made);
+    return found ? found->engine_id : "";
+  }
+};
+
+dialect::request_terms prompt() {
+  dialect::request_terms terms;
+  terms.model = "m";
+  terms.parts = {{"p", 2560}, {"q", 400}};
+  return terms;
+}
+
+}  // namespace
+
+TEST_CASE("load decides before what is kept, and what is kept among engines alike in load") {
+  setting here;
+  here.engine("one", "a");
+  here.engine("two", "b");
+  here.engines.kept().note(1, forward::part_keys(prompt(), here.table.routes[0]), here.now);
+  CHECK(here.chosen(prompt()) == "two");
+  // Three requests more are within a step of its capacity; four are not.
+  for (int turn = 0; turn < 3; ++turn) here.engines.sent(1, here.now);
+  CHECK(here.chosen(prompt()) == "two");
+  here.engines.sent(1, here.now);
+  CHECK(here.chosen(prompt()) == "one");
+}
+
+TEST_CASE("the same parts of another model, or behind other parts, are nothing worth") {
+  setting here;
+  here.engine("one", "b");
+  here.engine("two", "b");
+  here.engines.kept().note(1, forward::part_keys(prompt(), here.table.routes[0]), here.now);
+  auto other = prompt();
+  other.model = "n";
+  auto made = here.plan(other);
+  CHECK(std::get<forward::plan>(made).cached_tokens == 0);
+  auto moved = prompt();
+  std::swap(moved.parts[0], moved.parts[1]);
+  made = here.plan(moved);
+  CHECK(std::get<forward::plan>(made).cached_tokens == 0);
+}
+
+TEST_CASE("engines that leave, stand in an evacuated zone or failed are not taken") {
+  setting here;
+  here.engine("one", "a");
+  here.engine("two", "b");
+  here.evacuated = {"a"};
+  CHECK(here.chosen() == "two");
+  here.engines.leaving({"two"});
+  CHECK(here.chosen().empty());
+  here.evacuated.clear();
+  CHECK(here.chosen() == "one");
+  here.engines.failed(0, true, here.now);
+  CHECK(here.chosen().empty());
+  // After its time out of use one request tries it, and no second one before that has ended.
+  here.now += 5 * second;
+  CHECK(here.chosen() == "one");
+  here.engines.sent(0, here.now);
+  CHECK(here.chosen().empty());
+  here.engines.answered(0, {}, here.now);
+  CHECK(here.chosen() == "one");
+}
+
+TEST_CASE("a cold engine gets this node's part of its rate in any second") {
+  setting here;
+  here.engine("one", "a", 64, 3000);
+  int sent = 0;
+  for (int turn = 0; turn < 100; ++turn) {
+    here.now += 10 * millisecond;
+    if (here.chosen().empty()) continue;
+    here.engines.sent(0, here.now);
+    here.engines.ended(0);
+    ++sent;
+  }
+  // 12 a second for three nodes.
+  CHECK(sent == 4);
+  here.now += 4 * second;
+  CHECK(here.chosen() == "one");
+}
+
+TEST_CASE("a source is named when its lead is over the threshold, and only among engines free to lend") {
+  setting here;
+  here.table.services[0].model.emplace();
+  here.table.services[0].model->min_cached_token_delta = 2048;
+  here.engine("one", "a");
+  here.engine("two", "b");
+  here.engines.kept().note(1, forward::part_keys(prompt(), here.table.routes[0]), here.now);
+  for (int turn = 0; turn < 8; ++turn) here.engines.sent(1, here.now);
+  auto made = here.plan(prompt());
+  auto& plan = std::get<forward::plan>(made);
+  CHECK(plan.engine_id == "one");
+  CHECK(plan.source == "two");
+  CHECK(plan.source_tokens == 2960);
+  here.evacuated = {"b"};
+  made = here.plan(prompt());
+  CHECK_FALSE(std::get<forward::plan>(made).source);
+  here.evacuated.clear();
+  here.table.services[0].model->min_cached_token_delta = 2960;
+  made = here.plan(prompt());
+  CHECK_FALSE(std::get<forward::plan>(made).source);
+  here.table.services[0].model->min_cached_token_delta.reset();
+  made = here.plan(prompt());
+  CHECK_FALSE(std::get<forward::plan>(made).source);
+}
--- /dev/null
+++ b/tests/platform_setting.h
@@ -0,0 +1,85 @@
+// A configuration in the platform's words, and calls of the operator.
+#pragma once
+#include <catch2/catch.hpp>
+
+#include "platform/dialect.h"
+
+namespace herontally::tests {
+
+using json = nlohmann::json;
+
+inline json whole(int version = 7) {
+  return {
+      {"generation", version},
+      {"routing", json::array({{{"label", "talk"},
+                                {"authority", "a.example"},
+                                {"path_prefix", "/talk/"},
+                                {"category", "streaming"},
+                                {"deadline_ms", 4000},
+                                {"target_ms", 200},
+                                {"urgency", 1},
+                                {"mix", json::array({{{"backend", "chat"}, {"share", 90}},
+                                                     {{"backend", "tool"}, {"share", 10}}})},
+                                {"tries", 2},
+                                {"retained", true},
+                                {"retain_s", 60.0},
+                                {"affine", true},
+                                {"resumable", false},
+                                {"gap_target_ms", 300}},
+                               {{"label", "look"},
+                                {"authority", "a.example"},
+                                {"path_prefix", "/look/"},
+                                {"category", "idempotent"},
+                                {"deadline_ms", 1000},
+                                {"backend", "tool"},
+                                {"news_to_us", 5}}})},
+      {"backends", json::array({{{"label", "chat"},
+                                 {"probe", "/health"},
+                                 {"max_conns", 360},
+                                 {"warmup_s", 3.0},
+                                 {"warmup_per_s", 22.5},
+                                 {"engine",
+                                  {{"capacity", 64},
+                                   {"cache_tokens", 207117},
+                                   {"chunk", 4},
+                                   {"catalog", json::array({{{"label", "m"}}})}}}},
+                                {{"label", "tool"}, {"probe", "/health"}, {"max_conns", 96}}})},
+      {"caps", {{"header_bytes", 16384}, {"body_bytes", 4194304}, {"header_ms", 3000}, {"idle_ms", 15000}}}};
+}
+
+inline dialect::dialect words() {
+  dialect::dialect made;
+  platform::fill_operators(made);
+  return made;
+}
+
+inline runtime::http_visit call(const std::string& method, const std::string& path,
+                                const std::string& body = "",
+                                const std::map<std::string, std::string>& headers = {}) {
+  runtime::http_visit visit;
+  visit.method = method;
+  visit.path = path;
+  visit.body = body;
+  visit.headers = headers;
+  return visit;
+}
+
+// Where the first fault lies; "" when there is none.
+inline std::string against(const std::string& body, const std::optional<std::string>& current = std::nullopt,
+                           bool partial = false) {
+  auto read = platform::read_configuration(current, {0, partial, body});
+  auto* faults = std::get_if<std::vector<routing::fault>>(&read);
+  if (!faults) return "";
+  REQUIRE(!faults->empty());
+  return faults->front().pointer.empty() ? "whole" : faults->front().pointer;
+}
+inline std::string against(const json& body) { return against(body.dump()); }
+inline dialect::configuration read(const std::string& body,
+                                   const std::optional<std::string>& current = std::nullopt,
+                                   bool partial = false) {
+  auto result = platform::read_configuration(current, {0, partial, body});
+  REQUIRE(std::holds_alternative<dialect::configuration>(result));
+  return std::get<dialect::configuration>(result);
+}
+
+}  // namespace herontally::tests
