Let a newcomer fetch its records itself, many in a message

Cause: a storage machine that came back with an empty disk was admitted only after the moving core had settled every record in rounds of its own. Ruled out: disks (a sync is 1 ms and shared), the view's own rounds (60 ms). Change: the newcomer lists and fetches from a majority of the view before, under the joint view, and takes copies as late accepts; what it has promised above is settled by rounds as before.

--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -66,11 +66,9 @@
 
 // One round over every record of the old majority puts each into a majority of the new one. Many go side by
 // side, so that they share the disks' syncs.
-static task<bool> fill(proposer group, view joint, microseconds deadline) {
+static task<bool> fill_one_by_one(proposer group, std::vector<std::string> records, view joint,
+                                  microseconds deadline) {
   constexpr std::size_t at_once = 16;
-  auto listed = co_await group.list_records(joint, deadline);
-  if (!listed) co_return false;
-  std::vector<std::string> records(listed->begin(), listed->end());
   auto runtime = group.port().runtime();
   runtime::mailbox<std::pair<std::string, filled>> box(runtime);
   auto work = [](proposer group, std::string record, microseconds deadline,
@@ -97,6 +95,33 @@
   co_return true;
 }
 
+// The newcomer fetches for itself, many records a message; what it must not take over is settled here.
+static task<bool> fill(proposer group, view joint, microseconds deadline) {
+  std::vector<voter_place> arriving;
+  for (auto& place : joint.voters) {
+    bool was = false;
+    for (auto& old : joint.before) was = was || old.id == place.id;
+    if (!was) arriving.push_back(place);
+  }
+  if (arriving.size() == 1) {
+    wire::fill_ask question{arriving[0].id, joint.number};
+    auto patience = std::min<microseconds>(15 * runtime::second, deadline - group.port().runtime().now());
+    auto result = co_await group.port().ask(arriving[0].address, std::move(question), patience);
+    auto* receipt = std::get_if<wire::fill_receipt>(&result);
+    if (receipt && receipt->verdict == "yes") {
+      group.port().journal().info("newcomer filled",
+                                  {{"node", arriving[0].node}, {"refused", receipt->refused.size()}});
+      co_return co_await fill_one_by_one(group, receipt->refused, joint, deadline);
+    }
+    // Out of reach, or not to be had from a majority just now: the move is tried again.
+    if (!receipt || receipt->verdict != "unknown") co_return false;
+  }
+  auto listed = co_await group.list_records(joint, deadline);
+  if (!listed) co_return false;
+  std::vector<std::string> records(listed->begin(), listed->end());
+  co_return co_await fill_one_by_one(group, std::move(records), joint, deadline);
+}
+
 task<std::optional<view>> agreed_view(proposer catalog, std::string group, microseconds deadline) {
   auto result = co_await catalog.read(view_key_of(group), deadline);
   bool known = result.end == change_end::settled || result.end == change_end::declined;
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -218,6 +218,10 @@
       [self](wire::chain_ask question) -> task<wire::chain_receipt> { co_return self->chain(question); });
   port.on<wire::keys_ask>(
       [self](wire::keys_ask question) -> task<wire::keys_receipt> { co_return self->keys(question); });
+  port.on<wire::records_ask>([self](wire::records_ask question) -> task<wire::records_receipt> {
+    co_return self->records(question);
+  });
+  port.on<wire::fill_ask>([self](wire::fill_ask question) { return self->fill(std::move(question)); });
   port.on<wire::sums_ask>(
       [self](wire::sums_ask question) -> task<wire::sums_receipt> { co_return self->sums(question); });
   port.on<wire::identify_ask>([self](wire::identify_ask question) -> task<wire::identify_receipt> {
--- a/src/register/voter_state.h
+++ b/src/register/voter_state.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <string.h>
 
+#include <set>
 #include <unordered_map>
 
 #include "register/voter.h"
@@ -96,6 +97,15 @@
   void serve();
   std::optional<std::string> read(const std::string& record) const;
   wire::sums_receipt sums(const wire::sums_ask& question) const;
+  // A newcomer fetches all records of the view before from its voters.
+  wire::records_receipt records(const wire::records_ask& question) const;
+  runtime::task<wire::fill_receipt> fill(wire::fill_ask question);
+  runtime::task<bool> fetch_from(voter_place source, std::int64_t number,
+                                 std::shared_ptr<std::set<std::string>> refused);
+  runtime::task<bool> fetch_page(voter_place source, std::int64_t number, std::vector<std::string> wanted,
+                                 std::shared_ptr<std::set<std::string>> refused);
+  runtime::slot<bool> take_copy(const std::string& record, std::string bytes,
+                                std::shared_ptr<std::set<std::string>> refused);
   runtime::task<> compare_with(voter_place fellow);
   runtime::task<std::int64_t> compare_range(voter_place fellow, std::int64_t range);
 };
