End a leaving proxy only once nothing has been under way for a moment

Cause: after its wait the proxy slept 100 ms and ended, whatever had come on an open connection meanwhile. Change: it ends after 200 ms in a row without a request under way, within its notice.

--- a/src/hproxy/door.cc
+++ b/src/hproxy/door.cc
@@ -39,17 +39,21 @@
   if (stores.current().number == 0) runtime.spawn(stores.refresh(runtime.now() + second));
 }
 
+// Ends once nothing has been under way for a moment: clients that still hold a connection may send another
+// request on it, which then is served and told to be the last.
 task<> node::state::close_door() {
   auto self = shared_from_this();
   self->door->leave();
+  auto last = self->runtime.now() + (self->place.notice_milliseconds - 300) * millisecond;
   // New connections come until the platform has missed our readiness twice.
   co_await self->runtime.sleep(std::min<microseconds>(2500, self->place.notice_milliseconds / 2) *
                                millisecond);
-  auto last = self->runtime.now() + (self->place.notice_milliseconds - 3200) * millisecond;
-  while (self->door->under_way() > 0 && self->runtime.now() < last)
-    co_await self->runtime.sleep(50 * millisecond);
-  // The last answers' bytes are still on their way out.
-  co_await self->runtime.sleep(100 * millisecond);
+  constexpr microseconds calm = 200 * millisecond;
+  auto calm_since = self->runtime.now();
+  while (self->runtime.now() < last && self->runtime.now() - calm_since < calm) {
+    co_await self->runtime.sleep(20 * millisecond);
+    if (self->door->under_way() > 0) calm_since = self->runtime.now();
+  }
 }
 
 }  // namespace herontally::hproxy
