Hold requests while a node starts; read the engines' list as soon as the duty stays

Ruled out: disks and votes (the register was read 30 ms after the second core's start). Change: without any list it is read once the duty has stayed with a core for 250 ms; a request that arrives before table and list are known waits for them, 1.2 s or a third of its time at most. An agent's own look counts for a first list through the dialect as well.

--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -74,10 +74,17 @@
   one->out = out;
   if (self->leaving) out->last_on_connection();
   one->terms = self->speech->read_request(one->request.headers);
-  if (!self->routed || !self->engines.known()) {
+  // Just after a start the table and the list are moments away: whoever waits for them is served sooner than
+  // by a try elsewhere, where after a loss of everything nobody is further on.
+  std::int64_t patience = 1200;
+  if (one->terms.time_left >= 0) patience = std::min(patience, one->terms.time_left / 3);
+  while (!self->routed || !self->engines.known()) {
+    bool more = co_await self->wait_for_room(one->arrived + patience * millisecond);
+    if (more) continue;
     self->refuse(one, 503, "nothing is in force here yet", 300);
     co_return;
   }
+  if (out->closed()) co_return;
   auto host = one->request.headers.find("host");
   const auto* route =
       self->table.match(host == one->request.headers.end() ? "" : host->second, one->request.path);
--- a/src/hagent/platform.cc
+++ b/src/hagent/platform.cc
@@ -49,7 +49,8 @@
     auto age = self->board.engines_age_milliseconds();
     bool old = age < 0 || age * millisecond > list_is_old;
     if (!old) self->leaving_engines.clear();
-    if (old && self->board.engines_sequence() > 0 && !self->place.platform.empty()) {
+    bool of_use = self->board.engines_sequence() > 0 || self->list_offered;
+    if (old && of_use && !self->place.platform.empty()) {
       auto found = co_await engine::fetch_listing(self->runtime, self->place.platform, self->surroundings,
                                                   500 * millisecond);
       self->journal.count("herontally_platform_looks_total");
@@ -61,6 +62,7 @@
         self->leaving_engines = leaving;
         self->board.stir();
       }
+      self->looked = true;
     }
     // Uneven steps keep the edges from asking all at once.
     microseconds pause =
--- a/src/hcore/platform.cc
+++ b/src/hcore/platform.cc
@@ -62,10 +62,22 @@
 task<> node::state::poll_listing() {
   auto self = shared_from_this();
   std::int64_t epoch = 0;
-  microseconds pause = 500 * millisecond;
+  std::int64_t taken = 0;
+  microseconds pause = 500 * millisecond, polled = 0;
   while (true) {
-    co_await self->runtime.sleep(pause);
+    co_await self->runtime.sleep(50 * millisecond);
     if (!self->platform_duty.mine() || self->place.platform.empty()) continue;
+    // Without a list nodes that have just started wait for one: it is read as soon as the duty has stayed
+    // here for a moment, while cores that come up take it from each other.
+    if (taken != self->platform_duty.epoch()) {
+      taken = self->platform_duty.epoch();
+      polled = self->runtime.now();
+    }
+    bool none = self->board.engines_text().empty();
+    bool due = self->runtime.now() - polled >= (none ? 250 * millisecond : pause);
+    if (!due) continue;
+    polled = self->runtime.now();
+    auto held = self->platform_duty.epoch();
     auto found = co_await engine::fetch_listing(self->runtime, self->place.platform, self->surroundings,
                                                 800 * millisecond);
     // A platform that is silent, out of order or asked too often has said nothing: the last list stays.
@@ -73,6 +85,10 @@
       self->journal.count("herontally_platform_silent_total");
       continue;
     }
+    // Another core has the duty by now, or has handed on a list while this one was being read: its word goes.
+    bool late = held != self->platform_duty.epoch() || !self->platform_duty.mine() ||
+                (none && !self->board.engines_text().empty());
+    if (late) continue;
     // At most half of the rate is ours: cut-off edges look for themselves.
     double rate = std::max(self->place.list_rate, 0.1);
     pause = std::max(500 * millisecond, static_cast<microseconds>(found->pages * 2 / rate * second));
@@ -85,7 +101,7 @@
     for (auto& each : found->engines)
       if (each.draining && self->last_engines.find(nlohmann::json(each).dump()) == std::string::npos)
         self->journal.info("engine leaves", {{"engine", each.id}, {"says", "platform"}});
-    if (text != self->last_engines)
+    if (text != self->board.engines_text())
       self->journal.info("engine list changed", {{"engines", found->engines.size()}, {"epoch", epoch}});
     self->last_engines = text;
     co_await self->push_engines(text);
