--- /dev/null
+++ b/tests/platform_site_clients.cc
@@ -0,0 +1,179 @@
+// Clients as the users' pages describe them: tries with ids of their own, programs, helpers and tool calls.
+#include "platform_site.h"
+
+namespace herontally::psim {
+
+struct site::program {
+  std::string name, session;
+  std::int64_t budget = 0, most = 40;
+  microseconds deadline = 0;
+  bool over = false, runs_away = false;
+  int lines = 0;
+};
+
+// One try on a new connection.
+task<outcome> site::try_once(sent_request one, std::map<std::string, std::string> headers, std::string zone) {
+  auto runtime = where_.runtime_of("clients");
+  one.edge = pick_edge(zone);
+  auto attempt = one.attempt;
+  runtime::http_request request;
+  request.method = one.method;
+  request.path = one.target;
+  request.body = one.body;
+  request.headers = headers;
+  request.headers["host"] = "h.example";
+  request.headers["X-Attempt-Id"] = one.attempt;
+  auto left = one.deadline - where_.now();
+  request.headers["X-Time-Left-Ms"] = std::to_string(left / millisecond);
+  auto address = ingress(one.edge);
+  bool counted = one.kind == "streaming";
+  judge_.request(one);
+  outcome result;
+  std::size_t scanned = 0;
+  auto until = runtime.now() + left;
+  runtime::http_stream stream(runtime, address, std::move(request));
+  while (true) {
+    auto event = co_await stream.next(std::max<microseconds>(1, until - runtime.now()));
+    if (!event) {
+      result.timed_out = true;
+      break;
+    }
+    if (auto* failure = std::get_if<runtime::http_failure>(&*event)) {
+      result.unread = !failure->sent;
+      break;
+    }
+    if (auto* head = std::get_if<runtime::http_head>(&*event)) {
+      result.status = head->status;
+      result.headers = head->headers;
+    }
+    if (auto* piece = std::get_if<runtime::http_piece>(&*event)) result.body += piece->bytes;
+    std::int64_t events = 0;
+    for (auto at = result.body.find("\n\n", scanned); at != std::string::npos;
+         at = result.body.find("\n\n", scanned)) {
+      scanned = at + 2;
+      ++events;
+    }
+    if (counted && events > 0 && result.status == 200) judge_.tokens(attempt, events);
+    if (std::holds_alternative<runtime::http_end>(*event)) {
+      result.whole = true;
+      break;
+    }
+  }
+  judge_.answer(attempt, result);
+  co_return result;
+}
+
+static double retry_after(const outcome& seen) {
+  auto found = seen.headers.find("retry-after");
+  return found == seen.headers.end() ? 0 : std::strtod(found->second.c_str(), nullptr);
+}
+
+task<outcome> site::ask(sent_request one, std::map<std::string, std::string> headers, std::string* attempt) {
+  auto runtime = where_.runtime_of("clients");
+  std::string zone = zones[where_.draw(3)];
+  outcome last;
+  for (int number = 0; number < 4; ++number) {
+    one.attempt = "a" + std::to_string(++attempts_);
+    if (attempt) *attempt = one.attempt;
+    last = co_await try_once(one, headers, zone);
+    static const std::set<int> final{400, 401, 402, 403, 404, 413, 431};
+    if (last.whole && (last.status / 100 == 2 || final.count(last.status))) break;
+    bool promised = last.whole && (last.status == 429 || last.status == 503 || last.status == 408);
+    if (one.kind != "idempotent" && !promised && !last.unread) break;
+    auto left = one.deadline - where_.now();
+    auto pause = std::min<microseconds>(static_cast<microseconds>(retry_after(last) * 1e6), left / 3);
+    co_await runtime.sleep(std::max<microseconds>(pause, 20 * millisecond));
+    if (where_.now() + 100 * millisecond >= one.deadline) break;
+  }
+  co_return last;
+}
+
+task<> site::plain(std::string kind, std::string target) {
+  sent_request one;
+  one.method = kind == "idempotent" ? "GET" : "POST";
+  one.target = target + "x" + std::to_string(where_.draw(1000)) + "?q=%41";
+  one.kind = kind;
+  one.repeatable = kind == "idempotent";
+  one.deadline = where_.now() + 3 * second;
+  std::map<std::string, std::string> headers;
+  if (kind != "idempotent") one.body = "body " + std::to_string(attempts_);
+  if (kind == "streaming") headers["X-Token-Count"] = "100,40";
+  co_await ask(one, headers, nullptr);
+}
+
+task<> site::run_line(std::shared_ptr<program> whole, std::string previous, int turns) {
+  auto runtime = where_.runtime_of("clients");
+  ++whole->lines;
+  for (int turn = 0; turn < turns && !whole->over && where_.now() < whole->deadline; ++turn) {
+    sent_request one;
+    one.method = "POST";
+    one.target = "/turn/" + whole->name;
+    one.kind = "streaming";
+    one.kept = true;
+    one.previous = previous;
+    one.program = whole->name;
+    one.budget = whole->budget;
+    one.most = whole->most;
+    one.deadline = where_.now() + 4 * second;
+    std::map<std::string, std::string> headers{
+        {"X-Program", whole->name},
+        {"X-Token-Budget", std::to_string(whole->budget)},
+        {"X-Token-Count", "100," + std::to_string(whole->most)},
+        {"X-Session", whole->name + "-" + std::to_string(whole->lines)},
+        {"X-Program-Deadline-Ms", std::to_string((whole->deadline - where_.now()) / millisecond)}};
+    if (!previous.empty()) headers["X-Previous-Turn"] = previous;
+    outcome result;
+    std::string attempt;
+    for (int start = 0; start < 3; ++start) {
+      one.body = "input " + std::to_string(attempts_) + "\n";
+      one.deadline = where_.now() + 4 * second;
+      result = co_await ask(one, headers, &attempt);
+      if (result.whole && result.status >= 200 && result.status < 500 && result.status != 429) break;
+      co_await runtime.sleep((100 + static_cast<microseconds>(where_.draw(300))) * millisecond);
+    }
+    bool well = result.whole && result.status == 200;
+    whole->over = whole->over || (!well && !whole->runs_away);
+    if (!well) break;
+    previous = attempt;
+    for (std::uint64_t call = where_.draw(3); call > 0; --call)
+      runtime.spawn(plain(where_.draw(2) ? "mutating" : "idempotent", where_.draw(2) ? "/write/" : "/look/"));
+    if (where_.draw(4) == 0 || whole->runs_away) runtime.spawn(run_line(whole, previous, 2));
+    co_await runtime.sleep((50 + static_cast<microseconds>(where_.draw(200))) * millisecond);
+  }
+  judge_.counts["lines"] += 1;
+}
+
+task<> site::run_program() {
+  auto whole = std::make_shared<program>();
+  whole->name = "p" + std::to_string(++attempts_);
+  whole->runs_away = where_.draw(8) == 0;
+  whole->budget = whole->runs_away ? 160 : 400;
+  whole->deadline = where_.now() + 12 * second;
+  // Now and then a program goes on from a turn of another one.
+  std::string from;
+  auto& kept = judge_.kept_turns();
+  if (!kept.empty() && where_.draw(3) == 0)
+    from = kept[kept.size() - 1 - where_.draw(std::min<std::size_t>(kept.size(), 200))];
+  co_await run_line(whole, from, 4);
+}
+
+task<> site::offer_until(microseconds until) {
+  auto runtime = where_.runtime_of("clients");
+  while (where_.now() < until) {
+    auto kind = where_.draw(16);
+    if (kind < 2) runtime.spawn(run_program());
+    if (kind >= 2 && kind < 5) runtime.spawn(plain("streaming", "/stream/"));
+    if (kind >= 5 && kind < 8) runtime.spawn(plain("mutating", "/write/"));
+    if (kind >= 8 && kind < 11) runtime.spawn(plain("idempotent", "/look/"));
+    if (kind >= 11 && kind < 14) runtime.spawn(plain("idempotent", "/swap/"));
+    if (kind >= 14) runtime.spawn(plain("idempotent", "/v" + std::to_string(current) + "/"));
+    // Bursts come now and then.
+    bool burst = where_.draw(400) == 0;
+    for (int more = 0; burst && more < 60; ++more) runtime.spawn(plain("mutating", "/write/"));
+    co_await runtime.sleep(static_cast<microseconds>(where_.draw(80)) * millisecond);
+  }
+}
+
+void site::offer(microseconds until) { where_.runtime_of("clients").spawn(offer_until(until)); }
+
+}  // namespace herontally::psim
