--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -180,6 +180,11 @@
     co_return done;
   }
   if (installing && chosen.number <= installing->number && chosen != *installing) co_return false;
+  // Everybody who notices that this voter lags sends it the view: one writing of it is enough.
+  if (installing && *installing == chosen) {
+    while (installing && *installing == chosen) co_await port.runtime().sleep(2 * runtime::millisecond);
+    co_return current == chosen;
+  }
   installing = chosen;
   std::vector<disk::change> changes;
   changes.push_back({view_key, view_text(chosen)});
