Tell membership rows to proxies and peers only when they differ

Each agent handed its proxy all rows with each news answer (6.6 a second), and every exchange of whole tables (each 2 s) carried all rows both ways, so that bytes grew with the square of the nodes in all. Now a proxy says which version of the rows it has, and an exchange begins with sums of the live rows; rows follow only where they differ.

--- a/src/hagent/serve.cc
+++ b/src/hagent/serve.cc
@@ -8,6 +8,7 @@
   std::weak_ptr<state> weak = self;
   // Only our own proxy gives its address.
   bool from_proxy = !question.http.empty();
+  auto rows_known = question.members_version;
   if (from_proxy) {
     if (question.incarnation > self->proxy_incarnation) self->proxy_revision = 0;
     self->proxy = question.node;
@@ -25,12 +26,15 @@
   // A few fellows are asked for what all of them said: with it a majority's word needs no message to each.
   if (!from_proxy) receipt.heard = nlohmann::json(self->fresh.ages_milliseconds()).dump();
   if (!from_proxy) co_return receipt;
+  // Rows are many and change seldom: a proxy that has the newest isn't told them again.
+  receipt.leaving = self->leaving_engines;
+  receipt.members_version = self->known.version();
+  if (receipt.members_version == rows_known) co_return receipt;
   std::vector<wire::member> useful;
   for (auto& each : self->known.all())
     if (each.role == "hstore" || each.role == "hproxy" || each.name == self->place.name)
       useful.push_back(each);
   receipt.members = nlohmann::json(useful).dump();
-  receipt.leaving = self->leaving_engines;
   co_return receipt;
 }
 
--- a/src/hproxy/node.cc
+++ b/src/hproxy/node.cc
@@ -93,10 +93,11 @@
   return false;
 }
 
-void node::state::take_members(const std::string& text) {
+void node::state::take_members(const std::string& text, std::int64_t version) {
   auto list = members::from_text(text);
   if (list.empty()) return;
   members = std::move(list);
+  members_version = version;
   for (auto& each : members)
     if (each.role == "hagent" && each.inner == place.agent) agent_name = each.name;
 }
@@ -117,7 +118,7 @@
 }
 
 void node::state::take_news(const wire::news_receipt& receipt, microseconds asked) {
-  if (!receipt.members.empty()) take_members(receipt.members);
+  if (!receipt.members.empty()) take_members(receipt.members, receipt.members_version);
   if (!receipt.engines.empty()) {
     engines_epoch = receipt.engines_epoch;
     engines_sequence = receipt.engines_sequence;
@@ -159,6 +160,7 @@
     question.wait_milliseconds = 150;
     question.incarnation = self->incarnation;
     question.http = self->place.inner;
+    question.members_version = self->members_version;
     auto result = co_await self->port.ask(self->place.agent, std::move(question), 600 * millisecond);
     auto* receipt = std::get_if<wire::news_receipt>(&result);
     if (receipt)
--- a/src/hproxy/node_state.h
+++ b/src/hproxy/node_state.h
@@ -80,6 +80,7 @@
   bool leaving = false;
   std::string agent_name;
   std::vector<wire::member> members;
+  std::int64_t members_version = 0;
   std::int64_t proxies = 1, rank = -1, proxies_before = 0, rank_before = -1;
   std::int64_t visits = 0, waiting = 0;
   std::map<std::string, std::int64_t> by_peer;
@@ -96,7 +97,7 @@
   void tell_door(const wire::news_receipt& receipt, bool changed);
   bool is_gone(const std::string& owner, std::int64_t life) const;
   void take_news(const wire::news_receipt& receipt, microseconds asked);
-  void take_members(const std::string& text);
+  void take_members(const std::string& text, std::int64_t version);
   void count_doors();
   void refused(const std::string& reason);
   // When to come back, in seconds: spread, so that a crowd that was dropped at once doesn't return as one.
--- a/src/members/members.cc
+++ b/src/members/members.cc
@@ -8,7 +8,8 @@
     : state_(std::make_shared<state>(std::move(port), std::move(self), std::move(seeds), pace)) {
   // A node's lives are ordered by the time they began.
   if (state_->self.incarnation == 0) state_->self.incarnation = state_->port.runtime().wall();
-  state_->rows[state_->self.name] = row{state_->self, 0, state_->port.runtime().now()};
+  state_->version = state_->self.incarnation;
+  state_->put(state_->self);
 }
 
 void members::start() {
@@ -20,7 +21,9 @@
       bool reached = co_await here->probe_one(question.target, false, here->pace.direct);
       receipt.reached = reached;
     }
-    receipt.rumours = here->choose(question.full);
+    // Equal tables are not told to each other: they are nearly always equal.
+    receipt.sum = here->sum();
+    receipt.rumours = here->choose(question.full && question.sum != receipt.sum);
     co_return receipt;
   });
   here->port.runtime().spawn(state::prober(here));
@@ -30,7 +33,7 @@
   auto here = state_;
   here->leaving = true;
   here->self.status = "left";
-  here->rows[here->self.name] = row{here->self, 0, here->port.runtime().now()};
+  here->put(here->self);
   int told = 0;
   for (auto& each : all()) {
     if (each.name == here->self.name || each.status != "alive" || told++ >= 4) continue;
@@ -73,6 +76,8 @@
   for (auto& rumour : rumours) state_->hear(rumour);
 }
 
+std::int64_t members::version() const { return state_->version; }
+
 std::string members::to_text() const {
   nlohmann::json list = all();
   return list.dump();
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -33,6 +33,8 @@
   // Something was learned outside the probes, such as an agent's list handed to its proxy.
   void hear(const std::vector<wire::member>& rumours);
   std::string to_text() const;
+  // Grows with every change of a row, and from one life of the node to the next.
+  std::int64_t version() const;
 
  private:
   struct state;
--- a/src/members/members_state.h
+++ b/src/members/members_state.h
@@ -41,16 +41,41 @@
   std::vector<std::string> order;
   std::function<void(const wire::member&)> handler;
   bool leaving = false;
+  std::int64_t version = 0;
   state(wire::port from, wire::member own, std::vector<std::string> first, timing given)
       : port(std::move(from)), self(std::move(own)), seeds(std::move(first)), pace(given) {}
 
+  void put(const wire::member& entry) {
+    rows[entry.name] = row{entry, 0, port.runtime().now()};
+    ++version;
+  }
+
+  // Of the live rows, by FNV-1a, which all builds share. The dead are left out: nodes forget them at
+  // different times, and one that takes a dead node for live has another sum.
+  std::int64_t sum() const {
+    std::uint64_t mixed = 14695981039346656037u;
+    auto mix = [&mixed](const std::string& text) {
+      for (unsigned char letter : text) mixed = (mixed ^ letter) * 1099511628211u;
+      mixed = (mixed ^ 0xff) * 1099511628211u;
+    };
+    for (auto& [name, each] : rows) {
+      if (!is_live(each.entry)) continue;
+      mix(name);
+      mix(each.entry.status);
+      mix(std::to_string(each.entry.incarnation));
+      mix(std::to_string(each.entry.doubt));
+    }
+    // 0 stands for no sum.
+    return static_cast<std::int64_t>(mixed | 1);
+  }
+
   void hear(const wire::member& rumour) {
     if (rumour.name == self.name) {
       // Somebody doubts this life of ours: say louder that it goes on.
       if (rumour.incarnation == self.incarnation && rumour.status != "alive" && rumour.doubt >= self.doubt &&
           !leaving) {
         self.doubt = rumour.doubt + 1;
-        rows[self.name] = row{self, 0, port.runtime().now()};
+        put(self);
       }
       return;
     }
@@ -58,7 +83,7 @@
     if (found != rows.end() && !supersedes(rumour, found->second.entry)) return;
     bool changed = found == rows.end() || is_live(found->second.entry) != is_live(rumour) ||
                    found->second.entry.incarnation != rumour.incarnation;
-    rows[rumour.name] = row{rumour, 0, port.runtime().now()};
+    put(rumour);
     if (changed && handler) handler(rumour);
     if (changed)
       port.journal().info("member",
@@ -102,6 +127,7 @@
         buried.back().status = "dead";
       }
       bool gone = !is_live(each.entry) && now - each.since > pace.forget;
+      if (gone) ++version;
       entry = gone ? rows.erase(entry) : std::next(entry);
     }
     for (auto& each : buried) hear(each);
--- a/src/members/probing.cc
+++ b/src/members/probing.cc
@@ -5,17 +5,24 @@
 
 task<bool> members::state::probe_one(std::string address, bool full, microseconds timeout) {
   auto here = shared_from_this();
-  wire::probe question{"", full, here->choose(full)};
-  auto result = co_await here->port.ask(std::move(address), std::move(question), timeout);
+  wire::probe question{"", full, here->choose(false), full ? here->sum() : 0};
+  auto result = co_await here->port.ask(address, std::move(question), timeout);
   auto* receipt = std::get_if<wire::probe_receipt>(&result);
   if (!receipt) co_return false;
   for (auto& rumour : receipt->rumours) here->hear(rumour);
+  // We have heard all that it knows. What it lacks of ours it is told whole; one of an older version says no
+  // sum and is told always.
+  if (full && receipt->sum != here->sum()) {
+    wire::probe rest{"", false, here->choose(true), 0};
+    auto taken = co_await here->port.ask(std::move(address), std::move(rest), timeout);
+    co_return std::holds_alternative<wire::probe_receipt>(taken);
+  }
   co_return true;
 }
 
 task<> members::state::second_opinion(std::shared_ptr<state> here, std::string helper, std::string target,
                                       runtime::mailbox<bool> box) {
-  wire::probe question{std::move(target), false, {}};
+  wire::probe question{std::move(target), false, {}, 0};
   auto result = co_await here->port.ask(std::move(helper), std::move(question), here->pace.indirect);
   auto* receipt = std::get_if<wire::probe_receipt>(&result);
   box.push(receipt && receipt->reached);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -21,26 +21,26 @@
   std::int64_t revision = 0;
   std::string state;  // empty when the asker has it already
   std::int64_t age_milliseconds = -1;
-  std::int64_t engines_epoch = 0, engines_sequence = 0;
-  std::string engines, members;
-  // How old the engine list's last confirmation by the platform is; -1: unknown.
-  std::int64_t engines_age_milliseconds = -1;
+  std::int64_t engines_epoch = 0, engines_sequence = 0, members_version = 0;
+  std::string engines, members;                // empty for an asker that has this version of them
+  std::int64_t engines_age_milliseconds = -1;  // since the platform confirmed the list; -1: unknown
   // Engines that the agent itself heard of as leaving while the list was old.
   std::vector<std::string> leaving;
   // JSON: how many milliseconds ago each edge told that its revision was not above this receipt's.
   std::string heard;
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(news_receipt, revision, state, age_milliseconds, engines_epoch,
-                                 engines_sequence, engines, members, engines_age_milliseconds, leaving, heard)
+                                 engines_sequence, engines, members, engines_age_milliseconds, leaving, heard,
+                                 members_version)
 };
 struct news_ask {
   static constexpr const char* record = "news_ask";
   using receipt = news_receipt;
   std::string node;
   std::int64_t revision = 0, in_force = 0, engines_epoch = 0, engines_sequence = 0, wait_milliseconds = 0;
-  std::int64_t incarnation = 0;
+  std::int64_t incarnation = 0, members_version = 0;
   std::string http;  // the proxy's inner address, set only by a proxy that asks its agent
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(news_ask, node, revision, in_force, engines_epoch, engines_sequence,
-                                 wait_milliseconds, incarnation, http)
+                                 wait_milliseconds, incarnation, http, members_version)
 };
 
 struct in_force {
@@ -75,15 +75,17 @@
   static constexpr const char* record = "probe_receipt";
   bool reached = true;
   std::vector<member> rumours;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(probe_receipt, reached, rumours)
+  std::int64_t sum = 0;  // of the answerer's live rows; 0: it says none
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(probe_receipt, reached, rumours, sum)
 };
 struct probe {
   static constexpr const char* record = "probe";
   using receipt = probe_receipt;
   std::string target;  // another node's inner address when a second opinion is asked for
-  bool full = false;
+  bool full = false;   // all rows are asked for, unless the sums are equal
   std::vector<member> rumours;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(probe, target, full, rumours)
+  std::int64_t sum = 0;  // of the asker's live rows; 0: it says none
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(probe, target, full, rumours, sum)
 };
 
 struct engines_push_receipt {
