Give an engine list a new sequence only when it is another list

The core that polls the platform pushed the list with a new sequence at least each 0.5 s, so that each agent and proxy fetched the whole list twice a second, changed or not. Now cores that have the list are told only that it still holds, without its text, and wake their askers, so that the list's age is known as early as before.

--- a/src/hcore/node.cc
+++ b/src/hcore/node.cc
@@ -176,9 +176,16 @@
     auto self = weak.lock();
     // A holder that was superseded must not bring its old list back.
     bool passed = self->gate.pass("platform", word.epoch);
+    // Without its text the list is only confirmed, which counts where it is the one at hand.
+    bool at_hand =
+        word.epoch == self->board.engines_epoch() && word.sequence == self->board.engines_sequence();
+    if (passed && word.engines.empty() && !at_hand)
+      co_return wire::engines_push_receipt{"lacking", self->gate.highest("platform")};
     if (passed) self->board.set_engines(word.epoch, word.sequence, word.engines);
     // The holder asked the platform just before; its message may have been this long under way.
     if (passed) self->board.engines_confirmed(self->runtime.now() - push_timeout);
+    // The edges hear of the confirmation at once: they go by how old the list is.
+    if (passed) self->board.stir();
     co_return wire::engines_push_receipt{passed ? "yes" : "behind", self->gate.highest("platform")};
   });
   port.on<wire::trace_ask>([weak](wire::trace_ask question) -> task<wire::trace_receipt> {
--- a/src/hcore/node_state.h
+++ b/src/hcore/node_state.h
@@ -18,6 +18,8 @@
 using runtime::second;
 using runtime::task;
 
+// Epoch and sequence of an engine list.
+using list_version = std::pair<std::int64_t, std::int64_t>;
 constexpr microseconds push_timeout = 300 * millisecond;
 
 // How a change of the desired state ended.
@@ -59,6 +61,8 @@
   std::vector<runtime::slot<bool>> force_waits;
   std::string last_engines;
   std::int64_t engines_sequence = 0;
+  // By a core's name and life: the epoch and sequence of the engine list that it took from us last.
+  std::map<std::string, list_version> lists_told;
   microseconds began = 0, storage_changed = 0;
   std::size_t storage_seen = 0;
   bool core_written = false, stores_founded = false;
@@ -79,6 +83,7 @@
   task<> poll_platform();
   task<> poll_listing();
   task<> push_engines(std::string text);
+  task<> push_one(wire::member receiver, list_version version, std::string text);
   task<> found_core();
   task<> write_core_view();
   std::optional<std::vector<reg::voter_place>> founders() const;
--- a/src/hcore/platform.cc
+++ b/src/hcore/platform.cc
@@ -5,15 +5,30 @@
 
 namespace herontally::hcore {
 
-static task<> push_one(wire::port port, duty::duty held, std::string address, wire::engines_push word) {
-  auto result = co_await port.ask(std::move(address), std::move(word), push_timeout);
+// A core that took this list in this life of it is told only that the list still holds.
+task<> node::state::push_one(wire::member receiver, list_version version, std::string text) {
+  auto self = shared_from_this();
+  auto life = receiver.name + "/" + std::to_string(receiver.incarnation);
+  auto told = self->lists_told.find(life);
+  if (told != self->lists_told.end() && told->second == version) text.clear();
+  wire::engines_push word{version.first, version.second, std::move(text)};
+  auto result = co_await self->port.ask(std::move(receiver.inner), std::move(word), push_timeout);
   auto* receipt = std::get_if<wire::engines_push_receipt>(&result);
-  if (receipt && receipt->verdict == "behind") held.superseded(receipt->epoch);
+  if (receipt && receipt->verdict == "behind") self->platform_duty.superseded(receipt->epoch);
+  if (receipt && receipt->verdict == "yes")
+    self->lists_told[life] = version;
+  else
+    self->lists_told.erase(life);
 }
 
+// The list has a new sequence only when it is another one: every agent fetches a list of a new sequence.
 task<> node::state::push_engines(std::string text) {
-  wire::engines_push word{platform_duty.epoch(), ++engines_sequence, std::move(text)};
-  for (auto& each : known.live("hcore")) runtime.spawn(push_one(port, platform_duty, each.inner, word));
+  if (text != last_engines) ++engines_sequence;
+  last_engines = text;
+  list_version version{platform_duty.epoch(), engines_sequence};
+  // The lives of cores that are long gone need no place.
+  if (lists_told.size() > 64) lists_told.clear();
+  for (auto& each : known.live("hcore")) runtime.spawn(push_one(each, version, text));
   co_return;
 }
 
@@ -53,7 +68,6 @@
     if (text != self->last_engines)
       self->journal.info("engine list changed", {{"engines", document["engines"].size()}, {"epoch", epoch}});
     pushed = self->runtime.now();
-    self->last_engines = text;
     co_await self->push_engines(text);
   }
 }
@@ -87,7 +101,6 @@
         self->journal.info("engine leaves", {{"engine", each.id}, {"says", "platform"}});
     if (text != self->last_engines)
       self->journal.info("engine list changed", {{"engines", found->engines.size()}, {"epoch", epoch}});
-    self->last_engines = text;
     co_await self->push_engines(text);
   }
 }
