--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -56,13 +56,13 @@
   return cover;
 }
 
-static runtime::task<> answer(runtime::handle runtime, int version, std::string sender, entry found,
+static runtime::task<> answer(logging::journal journal, int version, std::string sender, entry found,
                               json body, std::function<void(std::string)> reply) {
   json receipt = co_await found.handler(std::move(body));
   auto sealed = seal(version, sender, found.receipt, receipt);
   // A receipt that our own schema refuses is a fault of this process; the asker sees a closed channel.
+  if (sealed) journal.count("herontally_inner_answer_bytes_total", static_cast<double>(sealed->size()));
   reply(sealed ? *sealed : std::string());
-  (void)runtime;
 }
 
 bool port::listen(const std::string& address) {
@@ -85,7 +85,7 @@
     if (!std::holds_alternative<json>(body)) return drop("malformed");
     here->journal.count("herontally_inner_messages_total");
     here->journal.count("herontally_inner_bytes_total", static_cast<double>(bytes.size()));
-    here->runtime.spawn(answer(here->runtime, here->version, here->sender, found->second,
+    here->runtime.spawn(answer(here->journal, here->version, here->sender, found->second,
                                std::get<json>(std::move(body)), std::move(reply)));
   });
 }
@@ -113,7 +113,9 @@
         co_return error::unreachable;
     }
   }
-  auto opened = unseal(here->version, std::get<std::string>(result));
+  auto& bytes = std::get<std::string>(result);
+  here->journal.count("herontally_inner_answers_received_bytes_total", static_cast<double>(bytes.size()));
+  auto opened = unseal(here->version, bytes);
   if (!std::holds_alternative<envelope>(opened)) co_return error::malformed;
   auto& cover = std::get<envelope>(opened);
   if (cover.kind != receipt) co_return error::malformed;
