--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -30,6 +30,7 @@
 void door::nodes(std::int64_t count) { state_->nodes = std::max<std::int64_t>(1, count); }
 bool door::ready() const { return state_->routed && state_->engines.known() && !state_->leaving; }
 void door::leave() { state_->leaving = true; }
+void door::close() { state_->closed = true; }
 std::int64_t door::under_way() const { return state_->under_way; }
 
 surroundings door::state::around() const { return {table, evacuated, choice.zone, nodes, runtime.now()}; }
@@ -74,6 +75,11 @@
   one->out = out;
   if (self->leaving) out->last_on_connection();
   one->terms = self->speech->read_request(one->request.headers);
+  // Taken now, it would be cut off with an engine at work on it.
+  if (self->closed) {
+    self->refuse(one, 503, "this node is ending", 20);
+    co_return;
+  }
   // Just after a start the table and the list are moments away: whoever waits for them is served sooner than
   // by a try elsewhere, where after a loss of everything nobody is further on.
   std::int64_t patience = 1200;
--- a/src/forward/door.h
+++ b/src/forward/door.h
@@ -27,6 +27,8 @@
   bool ready() const;
   // No more new connections: whoever is answered is told to open another one elsewhere.
   void leave();
+  // The process is about to end: who still comes is refused, before any engine hears of it.
+  void close();
   std::int64_t under_way() const;
   runtime::task<> serve(runtime::http_visit request, gateway::writer out);
 
--- a/src/hproxy/door.cc
+++ b/src/hproxy/door.cc
@@ -52,6 +52,8 @@
   auto calm_since = self->runtime.now();
   while (self->runtime.now() < last && self->runtime.now() - calm_since < calm) {
     co_await self->runtime.sleep(20 * millisecond);
+    // Never calm: what is under way gets the time that is left, and nobody else.
+    if (self->runtime.now() > last - 2 * second) self->door->close();
     if (self->door->under_way() > 0) calm_since = self->runtime.now();
   }
 }
--- a/src/register/repair.cc
+++ b/src/register/repair.cc
@@ -132,4 +132,16 @@
   }
 }
 
+wire::sums_receipt voter::state::sums(const wire::sums_ask& question) const {
+  wire::sums_receipt receipt;
+  receipt.verdict = question.voter == id ? "" : "stranger";
+  if (!receipt.verdict.empty()) return receipt;
+  receipt.verdict = "yes";
+  receipt.sums.assign(disk::ranges, 0);
+  for (auto& each : buckets)
+    for (std::size_t range = 0; range < disk::ranges; ++range)
+      receipt.sums[range] ^= static_cast<std::int64_t>(each->store.sums()[range]);
+  return receipt;
+}
+
 }  // namespace herontally::reg
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -156,18 +156,6 @@
   return receipt;
 }
 
-wire::sums_receipt voter::state::sums(const wire::sums_ask& question) const {
-  wire::sums_receipt receipt;
-  receipt.verdict = stranger_check(id, question.voter);
-  if (!receipt.verdict.empty()) return receipt;
-  receipt.verdict = "yes";
-  receipt.sums.assign(disk::ranges, 0);
-  for (auto& each : buckets)
-    for (std::size_t range = 0; range < disk::ranges; ++range)
-      receipt.sums[range] ^= static_cast<std::int64_t>(each->store.sums()[range]);
-  return receipt;
-}
-
 task<bool> voter::state::install(view chosen) {
   auto self = shared_from_this();
   if (chosen.number <= current.number) co_return chosen.number == current.number&& chosen == current;
