--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -172,3 +172,16 @@
   site.world.run_for(3 * second);
   CHECK(site.logged("engine list changed") == 1);
 }
+
+TEST_CASE("a storage machine that is gone for good is replaced before its successor is counted on") {
+  control_site site(17);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  site.world.run_for(8 * second);
+  site.world.kill("s3", hsim::disk_loss::all);
+  site.world.run_for(second);
+  site.boot_store("s4");
+  // The users count on the newcomer 4.2 s after it came.
+  site.world.run_for(4200 * millisecond);
+  CHECK(site.logged("voter replaced") == 1);
+}
