--- a/src/hcore/voters.cc
+++ b/src/hcore/voters.cc
@@ -3,9 +3,10 @@
 
 namespace herontally::hcore {
 
-// From when the membership gives a voter up until a spare takes its place. A machine that is gone for good must
-// not be waited for: until it is replaced the group has one loss less to bear, and a newcomer is expected to
-// carry its part a few seconds after it came. One that only restarts, and finds itself replaced, is a spare.
+// From when the membership gives a voter up until a spare takes its place. A machine that is gone for good
+// must not be waited for: until it is replaced the group has one loss less to bear, and a newcomer is
+// expected to carry its part a few seconds after it came. One that only restarts, and finds itself replaced,
+// is a spare.
 constexpr microseconds patience = second;
 
 static task<std::optional<wire::identify_receipt>> identify(wire::port port, std::string address,
