--- a/tests/platform_site_operator.cc
+++ b/tests/platform_site_operator.cc
@@ -95,8 +95,10 @@
   if (partial) {
     auto whole = json::parse(body);
     json removed = json::array();
-    // What the version beneath has beyond this one.
-    for (auto& each : json::parse(bodies_.at(next.base))["routing"])
+    // What the version beneath has beyond this one. Named: a part of a temporary wouldn't outlive the loop's
+    // head.
+    auto beneath = json::parse(bodies_.at(next.base));
+    for (auto& each : beneath["routing"])
       if (!next.routes.count(each["path_prefix"])) removed.push_back(each["label"]);
     body = json{{"generation", generation},
                 {"upsert", {{"routing", whole["routing"]}}},
