--- a/src/runtime/real_parts.h
+++ b/src/runtime/real_parts.h
@@ -33,6 +33,6 @@
 void tune_listener(int descriptor);
 
 constexpr std::size_t largest_frame = 16u << 20;
-constexpr std::size_t largest_http_body = 5u << 20;
+constexpr std::size_t largest_http_body = 4u << 20;
 
 }  // namespace herontally::runtime
