--- a/src/desired/check.cc
+++ b/src/desired/check.cc
@@ -80,9 +80,10 @@
 
 void check_partner(const json& section, const std::string& pointer, std::vector<fault>& faults) {
   cross_check cross{faults};
-  auto each = [&](const char* kind, auto visit) {
+  auto each = [&](const char* kind, auto check_entry) {
     if (!section.contains(kind)) return;
-    for (auto& [name, entry] : section[kind].items()) visit(entry, pointer + "/" + kind + "/" + escape(name));
+    for (auto& [name, entry] : section[kind].items())
+      check_entry(entry, pointer + "/" + kind + "/" + escape(name));
   };
   each("programs", [&](const json& entry, const std::string& place) {
     cross.named(section, pointer, "models", entry, "model", place);
--- a/src/desired/state.cc
+++ b/src/desired/state.cc
@@ -106,10 +106,10 @@
   out.evacuated_zones = shared.value("evacuated_zones", out.evacuated_zones);
   out.retiring_storage = shared.value("retiring_storage", out.retiring_storage);
   json limits = shared.value("limits", json::object());
-  out.limit.waitlist_seconds = limits.value("waitlist_seconds", out.limit.waitlist_seconds);
-  out.limit.visitor_buffer_kilobytes =
-      limits.value("visitor_buffer_kilobytes", out.limit.visitor_buffer_kilobytes);
-  out.limit.visits_per_visitor = limits.value("visits_per_visitor", out.limit.visits_per_visitor);
+  out.limit.queue_seconds = limits.value("queue_seconds", out.limit.queue_seconds);
+  out.limit.client_buffer_kilobytes =
+      limits.value("client_buffer_kilobytes", out.limit.client_buffer_kilobytes);
+  out.limit.requests_per_client = limits.value("requests_per_client", out.limit.requests_per_client);
   // A reference: a temporary from value() would die before the loop does.
   static const json nobody = json::object();
   const json& partners = content.document.contains("partners") ? content.document["partners"] : nobody;
--- a/src/desired/state.h
+++ b/src/desired/state.h
@@ -46,8 +46,8 @@
   table table_of(const std::string& name) const;
 };
 struct limits {
-  double waitlist_seconds = 5;
-  std::int64_t visitor_buffer_kilobytes = 256, visits_per_visitor = 512;
+  double queue_seconds = 5;
+  std::int64_t client_buffer_kilobytes = 256, requests_per_client = 512;
 };
 struct state {
   std::int64_t revision = 0, version = 0;
--- a/src/engine/completion.cc
+++ b/src/engine/completion.cc
@@ -29,12 +29,12 @@
             {"stream", true},
             {"stream_options", {{"include_usage", true}}},
             {"return_token_ids", true},
-            {"request_id", order.visit},
+            {"request_id", order.request_id},
             {"kv_transfer_params", transfer}};
   runtime::http_request request;
   request.method = "POST";
   request.path = "/v1/completions";
-  request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", order.visit}};
+  request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", order.request_id}};
   request.body = body.dump();
   return request;
 }
--- a/src/engine/completion.h
+++ b/src/engine/completion.h
@@ -6,7 +6,7 @@
 namespace herontally::engine {
 
 struct turn_order {
-  std::string address, model, visit;
+  std::string address, model, request_id;
   std::vector<std::int64_t> prompt;
   std::int64_t most_tokens = 0;
   prefix::identity identity;
--- a/src/engine/watch.cc
+++ b/src/engine/watch.cc
@@ -138,7 +138,7 @@
   if (draining && !row.draining) journal.info("engine leaves", {{"engine", row.name}, {"says", "itself"}});
   if (draining && !row.draining && reset) reset(row);
   row.draining = draining;
-  row.waitlist = static_cast<std::int64_t>(sample(text, "vllm:num_requests_waiting", 0));
+  row.queue = static_cast<std::int64_t>(sample(text, "vllm:num_requests_waiting", 0));
   row.running = static_cast<std::int64_t>(sample(text, "vllm:num_requests_running", 0));
   row.answers = true;
   row.reported_at = runtime.now();
--- a/src/engine/watch.h
+++ b/src/engine/watch.h
@@ -14,7 +14,7 @@
   double born = 0;                         // its life, as its metrics page tells it
   runtime::microseconds first_ready = 0, reported_at = 0;
   runtime::microseconds report_asked = -1;  // when the newest report that came was asked for
-  std::int64_t waitlist = 0, running = 0;
+  std::int64_t queue = 0, running = 0;
   std::int64_t unseen = 0, ours = 0, our_pulls = 0, our_borrows = 0;
   std::uint64_t report_number = 0;
   bool usable() const { return listed && !leaving && answers && !draining; }
@@ -34,7 +34,7 @@
   void on_reset(std::function<void(const engine_row&)> handler);
   // Called when an engine has room again or changed its state.
   void on_report(std::function<void()> handler);
-  // A visit of ours failed to reach it: it must answer a report before it gets the next one.
+  // A request of ours failed to reach it: it must answer a report before it gets the next one.
   void failed(names::index number);
 
  private:
--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -67,7 +67,7 @@
   co_return true;
 }
 
-task<> door::serve(runtime::http_visit request, gateway::writer out) {
+task<> door::serve(runtime::inbound_request request, gateway::writer out) {
   auto self = state_;
   auto one = std::make_shared<exchange>();
   one->arrived = self->runtime.now();
--- a/src/forward/door.h
+++ b/src/forward/door.h
@@ -30,7 +30,7 @@
   // The process is about to end: who still comes is refused, before any engine hears of it.
   void close();
   std::int64_t under_way() const;
-  runtime::task<> serve(runtime::http_visit request, gateway::writer out);
+  runtime::task<> serve(runtime::inbound_request request, gateway::writer out);
 
  private:
   struct state;
--- a/src/forward/door_state.h
+++ b/src/forward/door_state.h
@@ -13,7 +13,7 @@
 
 // One client's request, from its arrival to its answer.
 struct exchange {
-  runtime::http_visit request;
+  runtime::inbound_request request;
   gateway::writer out;
   dialect::request_terms terms;
   routing::route route;  // as the table had it on arrival; a later table is asked for anew at each attempt
--- a/src/forward/roster.cc
+++ b/src/forward/roster.cc
@@ -79,7 +79,7 @@
     // Out of use for a while after failures; then one request tries it.
     bool down = now < row.down_until || (row.on_trial && row.ours > 0);
     each.live = row.present && !down && may_take_cold(row, service, nodes, now);
-    each.waitlist = row.ours;
+    each.queue = row.ours;
     each.ours = row.ours;
     bool free = each.live && !each.draining && !each.evacuated;
     double load = work(row, now);
--- a/src/gateway/http.cc
+++ b/src/gateway/http.cc
@@ -34,28 +34,28 @@
   out->reply({200, {{"Content-Type", type}}, text});
 }
 
-bool common_pages(const runtime::http_visit& visit, const writer& out, const logging::journal& journal,
-                  bool ready, json detail) {
-  if (visit.method != "GET") return false;
-  if (visit.path == "/healthz") {
+bool common_pages(const runtime::inbound_request& incoming, const writer& out,
+                  const logging::journal& journal, bool ready, json detail) {
+  if (incoming.method != "GET") return false;
+  if (incoming.path == "/healthz") {
     reply_json(out, 200, {{"status", "alive"}});
     return true;
   }
-  if (visit.path == "/readyz") {
+  if (incoming.path == "/readyz") {
     detail["ready"] = ready;
     reply_json(out, ready ? 200 : 503, detail);
     return true;
   }
-  if (visit.path == "/metrics") {
+  if (incoming.path == "/metrics") {
     reply_text(out, "text/plain; version=0.0.4", journal.metrics());
     return true;
   }
   return false;
 }
 
-std::string bearer(const runtime::http_visit& visit) {
-  auto found = visit.headers.find("authorization");
-  if (found == visit.headers.end() || found->second.rfind("Bearer ", 0) != 0) return "";
+std::string bearer(const runtime::inbound_request& incoming) {
+  auto found = incoming.headers.find("authorization");
+  if (found == incoming.headers.end() || found->second.rfind("Bearer ", 0) != 0) return "";
   return found->second.substr(7);
 }
 
--- a/src/gateway/plan.cc
+++ b/src/gateway/plan.cc
@@ -20,8 +20,8 @@
     each.live = row.listed && row.answers;
     each.draining = row.leaving || row.draining;
     each.evacuated = around.state.evacuated_zones.count(row.zone) > 0;
-    each.reported = row.waitlist + row.running;
-    each.waitlist = row.waitlist;
+    each.reported = row.queue + row.running;
+    each.queue = row.queue;
     each.unseen = row.unseen;
     each.ours = row.ours;
     each.our_pulls = row.our_pulls;
@@ -76,7 +76,7 @@
   if (!made) return placement::could_serve(asked, engines) ? unplanned::busy : unplanned::hopeless;
   const auto& destination = engines[made->destination];
   plan.desired_revision = around.state.revision;
-  plan.shot = around.shot;
+  plan.attempt = around.attempt;
   plan.destination = destination.number;
   plan.destination_name = destination.name;
   plan.destination_blocks = destination.cached_blocks;
@@ -84,7 +84,7 @@
   plan.lease_end = subject.lease_end;
   plan.order.address = destination.address;
   plan.order.model = subject.model.name;
-  plan.order.visit = subject.visit;
+  plan.order.request_id = subject.request_id;
   plan.order.prompt = subject.prompt;
   plan.order.most_tokens = subject.most_tokens;
   plan.order.identity = identity;
@@ -121,7 +121,7 @@
   const auto& destination = engines[made->destination];
   call_plan plan;
   plan.desired_revision = around.state.revision;
-  plan.shot = around.shot;
+  plan.attempt = around.attempt;
   plan.destination = destination.number;
   plan.destination_name = destination.name;
   plan.address = destination.address;
@@ -130,7 +130,7 @@
   plan.request.path = subject.route.path;
   plan.request.body = subject.body;
   plan.request.headers["Content-Type"] = subject.content_type;
-  plan.request.headers["X-Request-Id"] = subject.visit;
+  plan.request.headers["X-Request-Id"] = subject.request_id;
   if (!subject.key.empty()) plan.request.headers["Idempotency-Key"] = subject.key;
   return plan;
 }
--- a/src/gateway/plan.h
+++ b/src/gateway/plan.h
@@ -1,4 +1,4 @@
-// The plan of one shot: made as data, without I/O, then carried out as it stands.
+// The plan of one attempt: made as data, without I/O, then carried out as it stands.
 #pragma once
 #include "engine/completion.h"
 #include "engine/watch.h"
@@ -11,7 +11,7 @@
 
 struct turn_plan {
   std::int64_t desired_revision = 0;  // the view of the desired state that it was made under
-  int shot = 1;
+  int attempt = 1;
   names::index destination = 0;
   std::string destination_name;
   std::optional<names::index> source;
@@ -23,7 +23,7 @@
 
 struct call_plan {
   std::int64_t desired_revision = 0;
-  int shot = 1;
+  int attempt = 1;
   names::index destination = 0;
   std::string destination_name, address;
   runtime::http_request request;
@@ -36,7 +36,7 @@
   std::int64_t proxies = 1, rank = 0, proxies_before = 0, rank_before = 0;
   runtime::microseconds now = 0;
   std::vector<names::index> avoid;
-  int shot = 1;
+  int attempt = 1;
 };
 
 std::vector<placement::engine> engines_of(const std::vector<engine::engine_row>& rows,
@@ -44,7 +44,7 @@
                                           const std::string& serves, const surroundings& around);
 
 struct turn_subject {
-  std::string partner, program, visit;
+  std::string partner, program, request_id;
   const desired::model& model;
   const desired::program& settings;
   std::vector<std::int64_t> prompt;
@@ -59,7 +59,7 @@
                                              const prefix::index& held, std::mt19937_64& random);
 
 struct call_subject {
-  std::string partner, key, visit, body, content_type;
+  std::string partner, key, request_id, body, content_type;
   const desired::route& route;
   const desired::application& application;
   runtime::microseconds deadline = 0;
--- a/src/hagent/node.cc
+++ b/src/hagent/node.cc
@@ -39,15 +39,15 @@
   else
     self->runtime.spawn(self->look_at_platform());
   self->runtime.spawn(self->keep_proxy_row());
-  bool served =
-      self->runtime.http_serve(self->place.http, [weak](runtime::http_visit visit, gateway::writer out) {
-        auto here = weak.lock();
-        if (!here) return;
-        auto age = here->age_milliseconds();
-        bool ready = age >= 0 && age * millisecond <= news::longest_age && !here->leaving;
-        if (!gateway::common_pages(visit, out, here->journal, ready, {{"revision", here->board.revision()}}))
-          gateway::drop(out, 404, "no such page", "no");
-      });
+  bool served = self->runtime.http_serve(self->place.http, [weak](runtime::inbound_request incoming,
+                                                                  gateway::writer out) {
+    auto here = weak.lock();
+    if (!here) return;
+    auto age = here->age_milliseconds();
+    bool ready = age >= 0 && age * millisecond <= news::longest_age && !here->leaving;
+    if (!gateway::common_pages(incoming, out, here->journal, ready, {{"revision", here->board.revision()}}))
+      gateway::drop(out, 404, "no such page", "no");
+  });
   if (!served) co_return "http can't be listened on: " + self->place.http;
   self->journal.info("started");
   co_return std::nullopt;
@@ -125,7 +125,7 @@
       self->board.engines_confirmed(asked - receipt->engines_age_milliseconds * millisecond);
     if (useful && self->board.revision() >= receipt->revision)
       self->fresh.vouched(asked - receipt->age_milliseconds * millisecond);
-    // A core that lost touch with its fellows is of little use: try the next.
+    // A core that lost touch with its peers is of little use: try the next.
     if (!useful) {
       ++turn;
       co_await self->runtime.sleep(60 * millisecond);
--- a/src/hagent/node_state.h
+++ b/src/hagent/node_state.h
@@ -13,8 +13,8 @@
 using runtime::second;
 using runtime::task;
 
-// Older than this the list may have missed that an engine leaves. The rest of the time until visits must have
-// stopped goes to the look itself and to the way to the door.
+// Older than this the list may have missed that an engine leaves. The rest of the time until requests must
+// have stopped goes to the look itself and to the way to the door.
 constexpr microseconds list_is_old = 1200 * millisecond;
 
 struct node::state : std::enable_shared_from_this<node::state> {
--- a/src/hagent/serve.cc
+++ b/src/hagent/serve.cc
@@ -23,7 +23,7 @@
     return here ? here->age_milliseconds() : -1;
   };
   auto receipt = co_await self->board.answer(std::move(question), age);
-  // A few fellows are asked for what all of them said: with it a majority's word needs no message to each.
+  // A few peers are asked for what all of them said: with it a majority's word needs no message to each.
   if (!from_proxy) receipt.heard = nlohmann::json(self->fresh.ages_milliseconds()).dump();
   if (!from_proxy) co_return receipt;
   // Rows are many and change seldom: a proxy that has the newest isn't told them again.
--- a/src/hcore/commands.cc
+++ b/src/hcore/commands.cc
@@ -210,7 +210,7 @@
   co_return terms;
 }
 
-task<> node::state::control_visit(runtime::http_visit request, gateway::writer out) {
+task<> node::state::control_request(runtime::inbound_request request, gateway::writer out) {
   auto self = shared_from_this();
   auto asked = self->surroundings->read_command(request);
   auto terms = co_await self->execute(asked);
--- a/src/hcore/main.cc
+++ b/src/hcore/main.cc
@@ -3,5 +3,5 @@
 
 int main(int count, char** words) {
   return herontally::runtime::run_program<herontally::hcore::node>(
-      count, words, "hcore", "keeps the desired state with its fellows and serves the operators");
+      count, words, "hcore", "keeps the desired state with its peers and serves the operators");
 }
--- a/src/hcore/node.cc
+++ b/src/hcore/node.cc
@@ -81,13 +81,16 @@
   self->runtime.spawn(self->keep_voters());
   self->runtime.spawn(self->keep_calendars());
   self->runtime.spawn(self->voter.repair_forever());
-  if (!self->runtime.http_serve(self->place.http, [weak](runtime::http_visit request, gateway::writer out) {
-        if (auto here = weak.lock()) here->runtime.spawn(here->visit(std::move(request), std::move(out)));
-      }))
+  if (!self->runtime.http_serve(
+          self->place.http, [weak](runtime::inbound_request request, gateway::writer out) {
+            if (auto here = weak.lock())
+              here->runtime.spawn(here->serve_request(std::move(request), std::move(out)));
+          }))
     co_return "http can't be listened on: " + self->place.http;
   bool controlled = self->surroundings && !self->place.control.empty();
-  auto command = [weak](runtime::http_visit request, gateway::writer out) {
-    if (auto here = weak.lock()) here->runtime.spawn(here->control_visit(std::move(request), std::move(out)));
+  auto command = [weak](runtime::inbound_request request, gateway::writer out) {
+    if (auto here = weak.lock())
+      here->runtime.spawn(here->control_request(std::move(request), std::move(out)));
   };
   if (controlled && !self->runtime.http_serve(self->place.control, command))
     co_return "control can't be listened on: " + self->place.control;
--- a/src/hcore/node_state.h
+++ b/src/hcore/node_state.h
@@ -90,7 +90,7 @@
   task<std::vector<reg::voter_place>> storage_founders();
   task<bool> found_stores();
   task<> finish_founding();
-  task<> control_visit(runtime::http_visit request, gateway::writer out);
+  task<> control_request(runtime::inbound_request request, gateway::writer out);
   task<dialect::reply_terms> execute(dialect::command asked);
   task<dialect::reply_terms> command_change(
       std::function<std::optional<desired::record>(const desired::record&, dialect::reply_terms&)> wanted);
@@ -102,12 +102,12 @@
   task<> keep_voters();
   task<> keep_calendars();
   void serve_inner();
-  task<> visit(runtime::http_visit request, gateway::writer out);
-  task<> desired_visit(runtime::http_visit request, gateway::writer out);
-  task<> zone_visit(runtime::http_visit request, gateway::writer out, std::string zone);
-  task<> storage_visit(runtime::http_visit request, gateway::writer out, std::string node);
-  task<> bootstrap_visit(runtime::http_visit request, gateway::writer out);
-  std::optional<std::string> partner_of(const runtime::http_visit& request) const;
+  task<> serve_request(runtime::inbound_request request, gateway::writer out);
+  task<> desired_request(runtime::inbound_request request, gateway::writer out);
+  task<> zone_request(runtime::inbound_request request, gateway::writer out, std::string zone);
+  task<> storage_request(runtime::inbound_request request, gateway::writer out, std::string node);
+  task<> bootstrap_request(runtime::inbound_request request, gateway::writer out);
+  std::optional<std::string> partner_of(const runtime::inbound_request& request) const;
   std::vector<desired::fault> stands_against(const json& before, const json& next) const;
   edit_verdict judge(const desired::record& current, json next, const std::string& partner) const;
   void report(const gateway::writer& out, const change_report& result) const;
--- a/src/hcore/operations.cc
+++ b/src/hcore/operations.cc
@@ -68,7 +68,7 @@
   return verdict;
 }
 
-task<> node::state::zone_visit(runtime::http_visit request, gateway::writer out, std::string zone) {
+task<> node::state::zone_request(runtime::inbound_request request, gateway::writer out, std::string zone) {
   auto self = shared_from_this();
   auto partner = self->partner_of(request);
   if (!partner || (request.method != "PUT" && request.method != "DELETE")) {
@@ -90,7 +90,7 @@
   self->report(out, result);
 }
 
-task<> node::state::storage_visit(runtime::http_visit request, gateway::writer out, std::string node) {
+task<> node::state::storage_request(runtime::inbound_request request, gateway::writer out, std::string node) {
   auto self = shared_from_this();
   auto partner = self->partner_of(request);
   if (!partner) {
--- a/src/hcore/operators.cc
+++ b/src/hcore/operators.cc
@@ -4,7 +4,7 @@
 
 namespace herontally::hcore {
 
-std::optional<std::string> node::state::partner_of(const runtime::http_visit& request) const {
+std::optional<std::string> node::state::partner_of(const runtime::inbound_request& request) const {
   auto token = gateway::bearer(request);
   for (auto& each : place.operators)
     if (!token.empty() && each.token == token) return each.partner;
@@ -39,7 +39,7 @@
   }
 }
 
-static std::optional<std::int64_t> expected_version(const runtime::http_visit& request) {
+static std::optional<std::int64_t> expected_version(const runtime::inbound_request& request) {
   auto found = request.headers.find("if-match");
   if (found == request.headers.end()) return std::nullopt;
   std::string text = found->second;
@@ -49,7 +49,7 @@
   return std::stoll(text);
 }
 
-task<> node::state::desired_visit(runtime::http_visit request, gateway::writer out) {
+task<> node::state::desired_request(runtime::inbound_request request, gateway::writer out) {
   auto self = shared_from_this();
   auto partner = self->partner_of(request);
   if (!partner) {
@@ -109,19 +109,19 @@
   self->report(out, result);
 }
 
-task<> node::state::visit(runtime::http_visit request, gateway::writer out) {
+task<> node::state::serve_request(runtime::inbound_request request, gateway::writer out) {
   auto self = shared_from_this();
   if (gateway::common_pages(request, out, self->journal, self->ready && !self->leaving)) co_return;
   auto parts = gateway::split_path(request.path);
   if (request.path == "/v1/desired") {
-    co_await self->desired_visit(std::move(request), out);
+    co_await self->desired_request(std::move(request), out);
   } else if (parts.size() == 4 && parts[0] == "v1" && parts[1] == "zones" && parts[3] == "evacuation") {
-    co_await self->zone_visit(std::move(request), out, parts[2]);
+    co_await self->zone_request(std::move(request), out, parts[2]);
   } else if (parts.size() == 4 && parts[0] == "v1" && parts[1] == "storage" && parts[3] == "retirement") {
-    co_await self->storage_visit(std::move(request), out, parts[2]);
+    co_await self->storage_request(std::move(request), out, parts[2]);
   } else if (request.path == "/v1/bootstrap" && request.method == "POST") {
     if (self->partner_of(request) == "*")
-      co_await self->bootstrap_visit(std::move(request), out);
+      co_await self->bootstrap_request(std::move(request), out);
     else
       gateway::drop(out, 401, "a bearer token for every section is needed", "no");
   } else if (request.path == "/v1/members" && request.method == "GET") {
--- a/src/hcore/voters.cc
+++ b/src/hcore/voters.cc
@@ -91,7 +91,7 @@
   return places;
 }
 
-task<> node::state::bootstrap_visit(runtime::http_visit request, gateway::writer out) {
+task<> node::state::bootstrap_request(runtime::inbound_request request, gateway::writer out) {
   auto self = shared_from_this();
   auto body = json::parse(request.body, nullptr, false);
   for (auto* group : {"core", "store"}) {
--- a/src/hctl/commands.cc
+++ b/src/hctl/commands.cc
@@ -24,7 +24,7 @@
          "  watch                      print each new version as it comes, until interrupted\n"
          "  members                    the system's nodes, as one core knows them\n"
          "  engines                    the engine list that is handed on as news\n"
-         "  evacuate ZONE              no more visits to the zone's engines\n"
+         "  evacuate ZONE              no more requests to the zone's engines\n"
          "  return ZONE                end the evacuation; engines warm up again\n"
          "  retire NODE                start moving a storage machine's copies away\n"
          "  progress NODE              how far that is\n"
--- a/src/hproxy/shots.cc
+++ b/src/hproxy/attempts.cc
@@ -1,4 +1,4 @@
-// One shot at an engine, the waitlist before it, and what is learned after it.
+// One attempt at an engine, the queue before it, and what is learned after it.
 #include "hproxy/node_state.h"
 #include "runtime/breaks.h"
 
@@ -52,7 +52,7 @@
   room.clear();
 }
 
-// The word that a visit is given up may come in behind the next visit, and may be lost with the channel.
+// The word that a request is given up may come in behind the next request, and may be lost with the channel.
 constexpr microseconds word_travels = 100 * millisecond;
 constexpr microseconds longest_linger = 2 * second;
 
@@ -65,8 +65,8 @@
   taken = seat();
 }
 
-task<shot_end> node::state::carry_out(gateway::turn_plan plan, turn_visit visit,
-                                      std::shared_ptr<progress> done) {
+task<attempt_end> node::state::carry_out(gateway::turn_plan plan, turn_request incoming,
+                                         std::shared_ptr<progress> done) {
   auto self = shared_from_this();
   auto begun = self->runtime.now();
   auto destination = plan.destination;
@@ -102,16 +102,16 @@
     auto event = co_await stream.next(slice);
     auto now = self->runtime.now();
     // A proxy that was frozen past its lease may have been superseded: it passes nothing on any more.
-    auto give_up = [&](shot_end how) {
+    auto give_up = [&](attempt_end how) {
       self->runtime.spawn(self->linger(std::move(taken), destination));
       return how;
     };
-    if (now >= plan.lease_end) co_return give_up(shot_end::lease_over);
-    if (now >= plan.deadline) co_return give_up(shot_end::failed);
-    if (visit.out->closed()) co_return give_up(shot_end::visitor_gone);
+    if (now >= plan.lease_end) co_return give_up(attempt_end::lease_over);
+    if (now >= plan.deadline) co_return give_up(attempt_end::failed);
+    if (incoming.out->closed()) co_return give_up(attempt_end::client_gone);
     if (auto* next = std::get_if<engine::piece>(&event)) {
       heard = now;
-      auto room = static_cast<std::size_t>(visit.most_tokens) - done->tokens.size();
+      auto room = static_cast<std::size_t>(incoming.most_tokens) - done->tokens.size();
       // The grant bounds what goes out, whatever the engine sends.
       if (next->tokens.size() > room) next->tokens.resize(room);
       if (next->tokens.empty()) continue;
@@ -119,11 +119,11 @@
       done->tokens.insert(done->tokens.end(), next->tokens.begin(), next->tokens.end());
       done->text += next->text;
       self->journal.count("herontally_tokens_streamed_total", static_cast<double>(next->tokens.size()));
-      self->send_piece(visit, *done, *next);
-      auto most = static_cast<std::size_t>(self->desired->limit.visitor_buffer_kilobytes) * 1024;
-      if (visit.out->backlog() > most) {
-        self->journal.count("herontally_slow_visitors_cut_total");
-        co_return give_up(shot_end::too_slow);
+      self->send_piece(incoming, *done, *next);
+      auto most = static_cast<std::size_t>(self->desired->limit.client_buffer_kilobytes) * 1024;
+      if (incoming.out->backlog() > most) {
+        self->journal.count("herontally_slow_clients_cut_total");
+        co_return give_up(attempt_end::too_slow);
       }
       continue;
     }
@@ -131,26 +131,28 @@
       double took = static_cast<double>(now - begun) / second;
       self->turn_seconds = 0.9 * self->turn_seconds + 0.1 * took;
       self->learn_from(plan, *last, output);
-      co_return shot_end::complete;
+      co_return attempt_end::complete;
     }
     if (auto* failed = std::get_if<engine::failure>(&event)) {
-      self->journal.warn("shot failed",
-                         {{"visit", visit.visit}, {"engine", plan.destination_name}, {"why", failed->why}});
-      self->journal.count("herontally_shots_failed_total");
+      self->journal.warn(
+          "attempt failed",
+          {{"request_id", incoming.request_id}, {"engine", plan.destination_name}, {"why", failed->why}});
+      self->journal.count("herontally_attempts_failed_total");
       self->held.forget(destination);
       if (!failed->ran && failed->status == 0) {
-        // Not one byte reached it, so that this shot has told no engine anything.
+        // Not one byte reached it, so that this attempt has told no engine anything.
         done->sent_on = was_started;
         self->engines.failed(destination);
       }
-      auto end = broken("complete") ? shot_end::complete : shot_end::failed;
+      auto end = broken("complete") ? attempt_end::complete : attempt_end::failed;
       co_return failed->status == 0 ? give_up(end) : end;
     }
     bool silent_and_gone = now - heard > 2 * second && !self->engines.row(destination).answers;
     if (silent_and_gone || now - heard > longest_silence) {
-      self->journal.warn("shot silent", {{"visit", visit.visit}, {"engine", plan.destination_name}});
-      self->journal.count("herontally_shots_failed_total");
-      co_return give_up(shot_end::failed);
+      self->journal.warn("attempt silent",
+                         {{"request_id", incoming.request_id}, {"engine", plan.destination_name}});
+      self->journal.count("herontally_attempts_failed_total");
+      co_return give_up(attempt_end::failed);
     }
   }
 }
--- a/src/hproxy/calls.cc
+++ b/src/hproxy/calls.cc
@@ -4,21 +4,22 @@
 namespace herontally::hproxy {
 
 // The route and its application as they are now; nothing when one of them is gone.
-std::optional<call_terms> node::state::terms_of(const call_visit& visit) const {
-  auto section = desired->partners.find(visit.partner);
+std::optional<call_terms> node::state::terms_of(const call_request& incoming) const {
+  auto section = desired->partners.find(incoming.partner);
   if (section == desired->partners.end()) return std::nullopt;
-  auto route = section->second.routes.find(visit.route);
+  auto route = section->second.routes.find(incoming.route);
   if (route == section->second.routes.end()) return std::nullopt;
   auto application = section->second.applications.find(route->second.application);
   if (application == section->second.applications.end()) return std::nullopt;
   return call_terms{route->second, application->second};
 }
 
-std::optional<gateway::call_plan> node::state::plan_shot(const call_visit& visit, const call_terms& terms,
-                                                         std::vector<names::index> avoid, int shot) {
-  gateway::call_subject subject{visit.partner,      visit.key,   visit.visit,       visit.body,
-                                visit.content_type, terms.route, terms.application, visit.deadline};
-  return gateway::plan_call(subject, around(std::move(avoid), shot), engines.rows(), runtime.random());
+std::optional<gateway::call_plan> node::state::plan_attempt(const call_request& incoming,
+                                                            const call_terms& terms,
+                                                            std::vector<names::index> avoid, int attempt) {
+  gateway::call_subject subject{incoming.partner,      incoming.key, incoming.request_id, incoming.body,
+                                incoming.content_type, terms.route,  terms.application,   incoming.deadline};
+  return gateway::plan_call(subject, around(std::move(avoid), attempt), engines.rows(), runtime.random());
 }
 
 // Between a plan and its carrying out a door may have slept, or a change may have come.
@@ -27,18 +28,18 @@
   return fresh() && desired->revision == plan.desired_revision && row.usable() && row.address == plan.address;
 }
 
-task<> node::state::call(runtime::http_visit request, gateway::writer out, std::string partner,
+task<> node::state::call(runtime::inbound_request request, gateway::writer out, std::string partner,
                          std::string name) {
   auto self = shared_from_this();
-  call_visit visit{partner,
-                   name,
-                   "",
-                   self->place.name + "-" + self->runtime.random_name(),
-                   request.body,
-                   "application/json",
-                   0,
-                   out};
-  auto terms = self->terms_of(visit);
+  call_request incoming{partner,
+                        name,
+                        "",
+                        self->place.name + "-" + self->runtime.random_name(),
+                        request.body,
+                        "application/json",
+                        0,
+                        out};
+  auto terms = self->terms_of(incoming);
   if (!terms) {
     gateway::drop(out, 404, "no such route, or its application is gone", "no");
     co_return;
@@ -49,14 +50,14 @@
     gateway::drop(out, 400, "an Idempotency-Key of 1 to 256 bytes is needed on this route", "no");
     co_return;
   }
-  if (keyed) visit.key = key->second;
+  if (keyed) incoming.key = key->second;
   auto type = request.headers.find("content-type");
-  if (type != request.headers.end()) visit.content_type = type->second;
-  visit.deadline = self->runtime.now() + static_cast<microseconds>(terms->route.timeout_seconds * second);
+  if (type != request.headers.end()) incoming.content_type = type->second;
+  incoming.deadline = self->runtime.now() + static_cast<microseconds>(terms->route.timeout_seconds * second);
   if (terms->route.effectful)
-    co_await self->effectful_call(std::move(visit), ledger::receipt_key(partner, name, key->second));
+    co_await self->effectful_call(std::move(incoming), ledger::receipt_key(partner, name, key->second));
   else
-    co_await self->plain_call(std::move(visit));
+    co_await self->plain_call(std::move(incoming));
 }
 
 // A back end that says so itself, before it did anything, has not run the call.
@@ -98,21 +99,21 @@
   return seat([held = engines, number]() mutable { --held.row(number).ours; });
 }
 
-task<> node::state::plain_call(call_visit visit) {
+task<> node::state::plain_call(call_request incoming) {
   auto self = shared_from_this();
   std::vector<names::index> avoid;
-  for (int shot = 1; shot <= 3 && self->fresh(); ++shot) {
-    auto terms = self->terms_of(visit);
+  for (int attempt = 1; attempt <= 3 && self->fresh(); ++attempt) {
+    auto terms = self->terms_of(incoming);
     if (!terms) break;
-    auto plan = self->plan_shot(visit, *terms, avoid, shot);
+    auto plan = self->plan_attempt(incoming, *terms, avoid, attempt);
     if (!plan) break;
     avoid.push_back(plan->destination);
     auto held = self->occupy(plan->destination);
-    auto left = std::max<microseconds>(100 * millisecond, visit.deadline - self->runtime.now());
+    auto left = std::max<microseconds>(100 * millisecond, incoming.deadline - self->runtime.now());
     auto result = co_await runtime::http_fetch(self->runtime, plan->address, plan->request, left);
     auto outcome = judge(result);
     if (outcome.end == call_outcome::what::answered) {
-      pass_on(visit.out, outcome.receipt.status, type_of(outcome.receipt), outcome.receipt.body, "none");
+      pass_on(incoming.out, outcome.receipt.status, type_of(outcome.receipt), outcome.receipt.body, "none");
       co_return;
     }
     // A call without effects may be tried at another engine.
@@ -121,7 +122,7 @@
     if (std::holds_alternative<runtime::http_failure>(result)) self->engines.failed(plan->destination);
   }
   self->refused("engines failed");
-  gateway::drop(visit.out, 503, "no engine answered the call", avoid.empty() ? "no" : "unknown",
+  gateway::drop(incoming.out, 503, "no engine answered the call", avoid.empty() ? "no" : "unknown",
                 self->come_back(1));
 }
 
--- a/src/hproxy/door.cc
+++ b/src/hproxy/door.cc
@@ -9,21 +9,23 @@
   choice.min_cached_token_delta = to.min_cached_token_delta;
   door.emplace(runtime, journal, to.speech, ledger::programs(stores), choice);
   std::weak_ptr<state> weak = weak_from_this();
-  bool clients = runtime.http_serve(place.ingress, [weak](runtime::http_visit request, gateway::writer out) {
-    auto here = weak.lock();
-    if (here) here->runtime.spawn(here->door->serve(std::move(request), std::move(out)));
-  });
+  bool clients =
+      runtime.http_serve(place.ingress, [weak](runtime::inbound_request request, gateway::writer out) {
+        auto here = weak.lock();
+        if (here) here->runtime.spawn(here->door->serve(std::move(request), std::move(out)));
+      });
   if (!clients) return "ingress can't be listened on: " + place.ingress;
-  bool asked = runtime.http_serve(place.readiness, [weak](runtime::http_visit request, gateway::writer out) {
-    auto here = weak.lock();
-    if (!here) return;
-    // Without a view of the ledger's stores no turn could be taken.
-    bool ready = here->door->ready() && here->stores.current().number > 0;
-    bool known = request.path == here->to.speech->ready_path;
-    runtime::http_receipt receipt;
-    receipt.status = !known ? 404 : ready ? 200 : 503;
-    out->reply(std::move(receipt));
-  });
+  bool asked =
+      runtime.http_serve(place.readiness, [weak](runtime::inbound_request request, gateway::writer out) {
+        auto here = weak.lock();
+        if (!here) return;
+        // Without a view of the ledger's stores no turn could be taken.
+        bool ready = here->door->ready() && here->stores.current().number > 0;
+        bool known = request.path == here->to.speech->ready_path;
+        runtime::http_receipt receipt;
+        receipt.status = !known ? 404 : ready ? 200 : 503;
+        out->reply(std::move(receipt));
+      });
   if (!asked) return "readiness can't be listened on: " + place.readiness;
   return std::nullopt;
 }
--- a/src/hproxy/effectful.cc
+++ b/src/hproxy/effectful.cc
@@ -3,40 +3,40 @@
 
 namespace herontally::hproxy {
 
-// No shot is begun, but an earlier visit's receipt may be there to give.
-task<> node::state::not_begun(call_visit visit, std::string record, std::string why) {
+// No attempt is begun, but an earlier request's receipt may be there to give.
+task<> node::state::not_begun(call_request incoming, std::string record, std::string why) {
   auto self = shared_from_this();
   auto known = co_await self->book.look_call(record, self->runtime.now() + ledger_patience);
   bool begun_before = known.receipt && known.receipt->state != "not-run";
-  if (begun_before && known.receipt->body_digest == ledger::digest_of(visit.body)) {
-    co_await self->answer_found(*known.receipt, visit, record);
+  if (begun_before && known.receipt->body_digest == ledger::digest_of(incoming.body)) {
+    co_await self->answer_found(*known.receipt, incoming, record);
     co_return;
   }
   self->refused(why);
   // "no" would be a false word if the receipts can't be read, or if this key has run with another body.
   bool certain = known.read && !begun_before;
-  gateway::drop(visit.out, 503, why, certain ? "no" : "unknown", self->come_back(1),
-                {{"visit", visit.visit}});
+  gateway::drop(incoming.out, 503, why, certain ? "no" : "unknown", self->come_back(1),
+                {{"request_id", incoming.request_id}});
 }
 
-task<> node::state::effectful_call(call_visit visit, std::string record) {
+task<> node::state::effectful_call(call_request incoming, std::string record) {
   auto self = shared_from_this();
   std::vector<names::index> avoid;
-  auto out = visit.out;
-  std::string digest = ledger::digest_of(visit.body);
-  int shot = 1;
-  for (int round = 1; shot <= 3 && round <= 8; ++shot, ++round) {
-    auto terms = self->terms_of(visit);
+  auto out = incoming.out;
+  std::string digest = ledger::digest_of(incoming.body);
+  int attempt = 1;
+  for (int round = 1; attempt <= 3 && round <= 8; ++attempt, ++round) {
+    auto terms = self->terms_of(incoming);
     std::optional<gateway::call_plan> plan;
-    if (terms && self->fresh()) plan = self->plan_shot(visit, *terms, avoid, round);
+    if (terms && self->fresh()) plan = self->plan_attempt(incoming, *terms, avoid, round);
     ledger::call_receipt first;
     first.state = "started";
-    first.visit = visit.visit + "." + std::to_string(round);
+    first.request_id = incoming.request_id + "." + std::to_string(round);
     first.body_digest = digest;
     first.engine = plan ? plan->destination_name : "";
     first.started = self->runtime.wall();
     if (!plan) {
-      co_await self->not_begun(visit, record, "no engine of the application can take calls");
+      co_await self->not_begun(incoming, record, "no engine of the application can take calls");
       co_return;
     }
     auto begun = co_await self->book.begin_call(record, first, self->runtime.now() + ledger_patience);
@@ -46,15 +46,15 @@
       co_return;
     }
     if (begun.end == end::found) {
-      co_await self->answer_found(begun.receipt, visit, record);
+      co_await self->answer_found(begun.receipt, incoming, record);
       co_return;
     }
     if (begun.end == end::full) {
-      co_await self->not_begun(visit, record, "the ledger's disks have no room for a receipt");
+      co_await self->not_begun(incoming, record, "the ledger's disks have no room for a receipt");
       co_return;
     }
     if (begun.end != end::mine) {
-      // What other visits with this key did can't be seen now, so nothing is promised.
+      // What other requests with this key did can't be seen now, so nothing is promised.
       self->refused("ledger");
       gateway::drop(out, 503, "the receipts can't be reached by a majority; the call may have run", "unknown",
                     self->come_back(1));
@@ -62,7 +62,7 @@
     }
     ledger::call_receipt last = begun.receipt;
     if (!self->still_good(*plan) && !broken("look")) {
-      // The rounds took their time, and the plan's ground has moved: this shot is agreed not to run.
+      // The rounds took their time, and the plan's ground has moved: this attempt is agreed not to run.
       self->journal.count("herontally_calls_planned_anew_total");
       last.state = "not-run";
       bool settled = co_await self->book.end_call(record, last, self->runtime.now() + ledger_patience);
@@ -70,21 +70,22 @@
         gateway::drop(out, 503, "the receipts can't be reached by a majority", "unknown", self->come_back(1));
         co_return;
       }
-      --shot;
+      --attempt;
       continue;
     }
     avoid.push_back(plan->destination);
-    self->journal.info("call placed",
-                       {{"visit", first.visit}, {"engine", plan->destination_name}, {"shot", shot}});
+    self->journal.info(
+        "call placed",
+        {{"request_id", first.request_id}, {"engine", plan->destination_name}, {"attempt", attempt}});
     auto held = self->occupy(plan->destination);
-    auto left = std::max<microseconds>(100 * millisecond, visit.deadline - self->runtime.now());
+    auto left = std::max<microseconds>(100 * millisecond, incoming.deadline - self->runtime.now());
     auto result = co_await runtime::http_fetch(self->runtime, plan->address, plan->request, left);
     auto outcome = judge(result);
     if (outcome.end == call_outcome::what::unknown) {
       self->journal.warn("call's answer is lost",
-                         {{"visit", first.visit}, {"engine", plan->destination_name}});
+                         {{"request_id", first.request_id}, {"engine", plan->destination_name}});
       self->runtime.spawn(self->linger(std::move(held), plan->destination));
-      auto asked = co_await self->ask_outcome(plan->destination_name, terms->route, visit.key);
+      auto asked = co_await self->ask_outcome(plan->destination_name, terms->route, incoming.key);
       if (asked) {
         outcome.end = call_outcome::what::answered;
         outcome.receipt = *asked;
@@ -120,16 +121,17 @@
     }
   }
   self->refused("engines failed");
-  gateway::drop(out, 503, "no engine took the call", "no", self->come_back(1), {{"visit", visit.visit}});
+  gateway::drop(out, 503, "no engine took the call", "no", self->come_back(1),
+                {{"request_id", incoming.request_id}});
 }
 
-// A later visit with the same key: the stored answer, or what can honestly be said.
-task<> node::state::answer_found(ledger::call_receipt found, call_visit visit, std::string record) {
+// A later request with the same key: the stored answer, or what can honestly be said.
+task<> node::state::answer_found(ledger::call_receipt found, call_request incoming, std::string record) {
   auto self = shared_from_this();
-  auto out = visit.out;
-  auto terms = self->terms_of(visit);
+  auto out = incoming.out;
+  auto terms = self->terms_of(incoming);
   if (found.state == "started" && terms) {
-    auto asked = co_await self->ask_outcome(found.engine, terms->route, visit.key);
+    auto asked = co_await self->ask_outcome(found.engine, terms->route, incoming.key);
     if (asked) {
       found.state = "done";
       found.status = asked->status;
--- a/src/hproxy/looks.cc
+++ b/src/hproxy/looks.cc
@@ -12,7 +12,7 @@
   if (route.outcome_path.empty()) co_return std::nullopt;
   std::string address;
   for (auto& row : self->engines.rows())
-    // Asking is a visit too: an engine that leaves, or whose zone is evacuated, gets none.
+    // Asking is a request too: an engine that leaves, or whose zone is evacuated, gets none.
     if (row.name == name && row.usable() && self->fresh() && !self->desired->evacuated_zones.count(row.zone))
       address = row.address;
   if (address.empty()) co_return std::nullopt;
--- a/src/hproxy/node.cc
+++ b/src/hproxy/node.cc
@@ -60,15 +60,17 @@
       if (question.revision == 0 || event.revision == question.revision) receipt.events.push_back(event);
     co_return receipt;
   });
-  if (!self->runtime.http_serve(self->place.http, [weak](runtime::http_visit request, gateway::writer out) {
-        if (auto here = weak.lock()) here->runtime.spawn(here->visit(std::move(request), std::move(out)));
-      }))
+  if (!self->runtime.http_serve(
+          self->place.http, [weak](runtime::inbound_request request, gateway::writer out) {
+            if (auto here = weak.lock())
+              here->runtime.spawn(here->serve_request(std::move(request), std::move(out)));
+          }))
     co_return "http can't be listened on: " + self->place.http;
   self->journal.info("started", {{"agent", self->place.agent}});
   co_return std::nullopt;
 }
 
-// The platform's warning: no new visits; those under way finish within the notice.
+// The platform's warning: no new requests; those under way finish within the notice.
 task<> node::leave() {
   auto self = state_;
   self->leaving = true;
@@ -77,7 +79,7 @@
     co_return;
   }
   auto until = self->runtime.now() + (self->place.notice_milliseconds - 200) * millisecond;
-  while (self->visits > 0 && self->runtime.now() < until) co_await self->runtime.sleep(50 * millisecond);
+  while (self->requests > 0 && self->runtime.now() < until) co_await self->runtime.sleep(50 * millisecond);
 }
 
 bool node::state::fresh() const {
@@ -179,38 +181,39 @@
 
 int node::state::come_back(std::int64_t least) const {
   // The more that wait, the wider apart: what a second can serve is about what waits for a second.
-  auto crowd = static_cast<std::uint64_t>(waiting * 4 / std::max<std::int64_t>(1, place.waitlist));
+  auto crowd = static_cast<std::uint64_t>(waiting * 4 / std::max<std::int64_t>(1, place.queue));
   auto spread = static_cast<std::uint64_t>(least) + 1 + crowd;
   return static_cast<int>(
       std::min<std::int64_t>(30, least + static_cast<std::int64_t>(runtime.draw(spread))));
 }
 
-gateway::surroundings node::state::around(std::vector<names::index> avoid, int shot) const {
-  return {*desired, proxies, rank, proxies_before, rank_before, runtime.now(), std::move(avoid), shot};
+gateway::surroundings node::state::around(std::vector<names::index> avoid, int attempt) const {
+  return {*desired, proxies, rank, proxies_before, rank_before, runtime.now(), std::move(avoid), attempt};
 }
 
 std::optional<seat> node::state::take_seat(const std::string& peer, const gateway::writer& out) {
   std::string host = peer.substr(0, peer.rfind(':'));
-  if (visits >= place.visits || by_peer[host] >= desired->limit.visits_per_visitor) {
-    bool own = visits < place.visits;
-    refused(own ? "visitor limit" : "visit limit");
-    gateway::drop(out, 429, own ? "too many visits of this visitor" : "too many visits", "no", come_back(1));
+  if (requests >= place.requests || by_peer[host] >= desired->limit.requests_per_client) {
+    bool own = requests < place.requests;
+    refused(own ? "client limit" : "request limit");
+    gateway::drop(out, 429, own ? "too many requests of this client" : "too many requests", "no",
+                  come_back(1));
     return std::nullopt;
   }
-  ++visits;
+  ++requests;
   ++by_peer[host];
   return seat([weak = weak_from_this(), host] {
     auto here = weak.lock();
     if (!here) return;
-    --here->visits;
+    --here->requests;
     if (--here->by_peer[host] == 0) here->by_peer.erase(host);
   });
 }
 
-task<> node::state::visit(runtime::http_visit request, gateway::writer out) {
+task<> node::state::serve_request(runtime::inbound_request request, gateway::writer out) {
   auto self = shared_from_this();
-  self->journal.gauge("herontally_visits", static_cast<double>(self->visits));
-  self->journal.gauge("herontally_waitlist", static_cast<double>(self->waiting));
+  self->journal.gauge("herontally_requests", static_cast<double>(self->requests));
+  self->journal.gauge("herontally_queue", static_cast<double>(self->waiting));
   // A door whose zone is evacuated serves who still comes, and asks the platform to send others elsewhere.
   bool evacuated = self->desired && self->desired->evacuated_zones.count(self->place.zone) > 0;
   if (gateway::common_pages(request, out, self->journal, self->fresh() && !self->leaving && !evacuated,
@@ -226,7 +229,7 @@
     gateway::drop(out, 404, "no such page", "no");
     co_return;
   }
-  // A change may have passed us by: better no visit than one under a state that is no longer in force.
+  // A change may have passed us by: better no request than one under a state that is no longer in force.
   if (!self->fresh() || self->leaving) {
     self->refused(self->leaving ? "leaving" : "outdated");
     gateway::drop(out, 503, self->leaving ? "this door is closing" : "the desired state may be outdated here",
--- a/src/hproxy/node.h
+++ b/src/hproxy/node.h
@@ -1,4 +1,4 @@
-// An edge machine's door: takes callers' visits, asks the ledger, plans, carries out.
+// An edge machine's door: takes callers' requests, asks the ledger, plans, carries out.
 #pragma once
 #include "dialect/dialect.h"
 #include "logging/logging.h"
--- a/src/hproxy/node_state.h
+++ b/src/hproxy/node_state.h
@@ -15,7 +15,7 @@
 using runtime::second;
 using runtime::task;
 
-// Counts a visit in for as long as it lives.
+// Counts a request in for as long as it lives.
 class seat {
  public:
   seat() = default;
@@ -34,14 +34,14 @@
   std::function<void()> leave_;
 };
 
-struct turn_visit {
-  std::string visit, partner, program, turn, prompt, peer;
+struct turn_request {
+  std::string request_id, partner, program, turn, prompt, peer;
   std::int64_t most_tokens = 0;
   gateway::writer out;
 };
 
-struct call_visit {
-  std::string partner, route, key, visit, body, content_type;
+struct call_request {
+  std::string partner, route, key, request_id, body, content_type;
   microseconds deadline = 0;
   gateway::writer out;
 };
@@ -51,16 +51,16 @@
   desired::application application;
 };
 
-// What one turn has given out so far, over all its shots.
+// What one turn has given out so far, over all its attempts.
 struct progress {
   std::int64_t pieces = 0;
   std::string text;
   std::vector<std::int64_t> tokens;
-  bool started = false;  // the visitor has the head of the stream
+  bool started = false;  // the client has the head of the stream
   bool sent_on = false;  // an engine has heard of the turn
 };
 
-enum class shot_end { complete, failed, visitor_gone, lease_over, too_slow };
+enum class attempt_end { complete, failed, client_gone, lease_over, too_slow };
 
 struct node::state : std::enable_shared_from_this<node::state> {
   runtime::handle runtime;
@@ -82,9 +82,9 @@
   std::vector<wire::member> members;
   std::int64_t members_version = 0;
   std::int64_t proxies = 1, rank = -1, proxies_before = 0, rank_before = -1;
-  std::int64_t visits = 0, waiting = 0;
+  std::int64_t requests = 0, waiting = 0;
   std::map<std::string, std::int64_t> by_peer;
-  std::vector<runtime::slot<bool>> room;  // visits that wait for an engine, first come first
+  std::vector<runtime::slot<bool>> room;  // requests that wait for an engine, first come first
   double turn_seconds = 0.5;              // moving average of a turn's time at its engine
   std::vector<wire::trace_event> trace;
   std::map<std::string, ledger::turn_content> contents;  // immutable, so a copy is as good
@@ -103,22 +103,23 @@
   // When to come back, in seconds: spread, so that a crowd that was dropped at once doesn't return as one.
   int come_back(std::int64_t least) const;
   task<> feed();
-  task<> visit(runtime::http_visit request, gateway::writer out);
+  task<> serve_request(runtime::inbound_request request, gateway::writer out);
   std::optional<seat> take_seat(const std::string& peer, const gateway::writer& out);
-  gateway::surroundings around(std::vector<names::index> avoid, int shot) const;
+  gateway::surroundings around(std::vector<names::index> avoid, int attempt) const;
 
   // Turns.
-  task<> turn(runtime::http_visit request, gateway::writer out, std::string partner, std::string program);
-  task<> run_turn(turn_visit visit);
+  task<> turn(runtime::inbound_request request, gateway::writer out, std::string partner,
+              std::string program);
+  task<> run_turn(turn_request incoming);
   task<std::optional<std::vector<ledger::turn_content>>> chain_of(ledger::head now, microseconds deadline);
   void keep_content(const std::string& digest, const ledger::turn_content& content);
-  void give_again(const turn_visit& visit, const ledger::turn_content& content);
-  task<> replay(turn_visit visit, ledger::ending before, microseconds deadline);
-  task<shot_end> carry_out(gateway::turn_plan plan, turn_visit visit, std::shared_ptr<progress> done);
+  void give_again(const turn_request& incoming, const ledger::turn_content& content);
+  task<> replay(turn_request incoming, ledger::ending before, microseconds deadline);
+  task<attempt_end> carry_out(gateway::turn_plan plan, turn_request incoming, std::shared_ptr<progress> done);
   void learn_from(const gateway::turn_plan& plan, const engine::summary& last,
                   const std::vector<std::int64_t>& output);
-  void send_piece(const turn_visit& visit, progress& done, const engine::piece& next);
-  void send_end(const turn_visit& visit, progress& done, const std::string& how, json fields);
+  void send_piece(const turn_request& incoming, progress& done, const engine::piece& next);
+  void send_end(const turn_request& incoming, progress& done, const std::string& how, json fields);
   bool could_serve(const std::string& kind, const std::string& partner, const std::string& serves) const;
   std::int64_t expected_wait_seconds(const std::string& kind, const std::string& partner,
                                      const std::string& serves) const;
@@ -128,18 +129,18 @@
   task<> linger(seat taken, names::index engine);
 
   // Calls.
-  task<> call(runtime::http_visit request, gateway::writer out, std::string partner, std::string route);
-  std::optional<call_terms> terms_of(const call_visit& visit) const;
-  std::optional<gateway::call_plan> plan_shot(const call_visit& visit, const call_terms& terms,
-                                              std::vector<names::index> avoid, int shot);
+  task<> call(runtime::inbound_request request, gateway::writer out, std::string partner, std::string route);
+  std::optional<call_terms> terms_of(const call_request& incoming) const;
+  std::optional<gateway::call_plan> plan_attempt(const call_request& incoming, const call_terms& terms,
+                                                 std::vector<names::index> avoid, int attempt);
   bool still_good(const gateway::call_plan& plan);
   seat occupy(names::index number);
-  task<> not_begun(call_visit visit, std::string record, std::string why);
-  task<> effectful_call(call_visit visit, std::string record);
-  task<> plain_call(call_visit visit);
+  task<> not_begun(call_request incoming, std::string record, std::string why);
+  task<> effectful_call(call_request incoming, std::string record);
+  task<> plain_call(call_request incoming);
   task<std::optional<runtime::http_receipt>> ask_outcome(std::string engine, desired::route route,
                                                          std::string key);
-  task<> answer_found(ledger::call_receipt found, call_visit visit, std::string record);
+  task<> answer_found(ledger::call_receipt found, call_request incoming, std::string record);
   task<> look(gateway::writer out, std::string partner, std::string program);
 };
 
--- a/src/hproxy/turns.cc
+++ b/src/hproxy/turns.cc
@@ -1,4 +1,4 @@
-// A turn from the visitor's request to its last piece.
+// A turn from the client's request to its last piece.
 #include "hproxy/node_state.h"
 #include "runtime/breaks.h"
 
@@ -6,7 +6,7 @@
 
 constexpr microseconds ledger_patience = 2500 * millisecond;
 
-task<> node::state::turn(runtime::http_visit request, gateway::writer out, std::string partner,
+task<> node::state::turn(runtime::inbound_request request, gateway::writer out, std::string partner,
                          std::string program) {
   auto self = shared_from_this();
   auto& section = self->desired->partners.at(partner);
@@ -28,36 +28,37 @@
                   turn_fits ? "max_tokens must be a whole number from 1" : "turn must be a plain name", "no");
     co_return;
   }
-  turn_visit visit;
-  visit.visit = self->place.name + "-" + self->runtime.random_name();
-  visit.partner = partner;
-  visit.program = program;
-  // Without a name of the visitor's, a turn can't be asked for again.
-  visit.turn = body.value("turn", visit.visit);
-  visit.prompt = body["prompt"];
-  visit.most_tokens = std::min(settings->turn_tokens, body.value("max_tokens", settings->turn_tokens));
-  visit.peer = request.peer;
-  visit.out = out;
+  turn_request incoming;
+  incoming.request_id = self->place.name + "-" + self->runtime.random_name();
+  incoming.partner = partner;
+  incoming.program = program;
+  // Without a name of the client's, a turn can't be asked for again.
+  incoming.turn = body.value("turn", incoming.request_id);
+  incoming.prompt = body["prompt"];
+  incoming.most_tokens = std::min(settings->turn_tokens, body.value("max_tokens", settings->turn_tokens));
+  incoming.peer = request.peer;
+  incoming.out = out;
   if (!self->could_serve("model", partner, settings->model)) {
     self->refused("no engine");
     gateway::drop(out, 503, "no engine of the model can take turns", "no", self->come_back(2));
     co_return;
   }
   auto wait = self->expected_wait_seconds("model", partner, settings->model);
-  if (self->waiting >= self->place.waitlist ||
-      static_cast<double>(wait) > self->desired->limit.waitlist_seconds) {
+  if (self->waiting >= self->place.queue || static_cast<double>(wait) > self->desired->limit.queue_seconds) {
     // It would be given up later; so it is given up now.
     self->refused("overload");
     gateway::drop(out, 429, "all engines of the model are busy", "no",
                   self->come_back(std::max<std::int64_t>(1, wait)));
     co_return;
   }
-  co_await self->run_turn(std::move(visit));
+  co_await self->run_turn(std::move(incoming));
 }
 
-static json visit_fields(const turn_visit& visit) {
-  return {
-      {"visit", visit.visit}, {"partner", visit.partner}, {"program", visit.program}, {"turn", visit.turn}};
+static json request_fields(const turn_request& incoming) {
+  return {{"request_id", incoming.request_id},
+          {"partner", incoming.partner},
+          {"program", incoming.program},
+          {"turn", incoming.turn}};
 }
 
 // The tokens that the chain names, as they were, between the program's shared prefix and the new prompt.
@@ -74,20 +75,20 @@
   return prompt;
 }
 
-task<> node::state::run_turn(turn_visit visit) {
+task<> node::state::run_turn(turn_request incoming) {
   auto self = shared_from_this();
-  auto out = visit.out;
-  desired::program settings = *self->desired->partners.at(visit.partner).find_program(visit.program);
+  auto out = incoming.out;
+  desired::program settings = *self->desired->partners.at(incoming.partner).find_program(incoming.program);
   auto begun = self->runtime.now();
   ledger::turn_wish wish;
-  wish.partner = visit.partner;
-  wish.program = visit.program;
-  wish.turn = visit.turn;
-  wish.visit = visit.visit;
+  wish.partner = incoming.partner;
+  wish.program = incoming.program;
+  wish.turn = incoming.turn;
+  wish.request_id = incoming.request_id;
   wish.owner = self->place.name;
   wish.owner_incarnation = self->incarnation;
   wish.budget = settings.budget_tokens;
-  wish.amount = visit.most_tokens;
+  wish.amount = incoming.most_tokens;
   wish.lease_microseconds = static_cast<microseconds>(settings.turn_seconds * second) + 2 * ledger_patience;
   auto opened = co_await self->book.open_turn(wish, begun + ledger_patience);
   switch (opened.end) {
@@ -100,10 +101,10 @@
     case ledger::open_end::spent:
       self->refused("budget spent");
       gateway::drop(out, 402, "the program's budget is spent", "no", 0,
-                    {{"spent", opened.now.spent}, {"visit", visit.visit}});
+                    {{"spent", opened.now.spent}, {"request_id", incoming.request_id}});
       co_return;
     case ledger::open_end::ended:
-      co_await self->replay(visit, *opened.before, begun + 2 * ledger_patience);
+      co_await self->replay(incoming, *opened.before, begun + 2 * ledger_patience);
       co_return;
     case ledger::open_end::full:
       self->refused("disks full");
@@ -111,13 +112,13 @@
       co_return;
     case ledger::open_end::unreachable:
     case ledger::open_end::unknown:
-      // No engine has heard of it, and this visit ends here.
+      // No engine has heard of it, and this request ends here.
       self->refused("ledger");
       gateway::drop(out, 503, "the ledger can't be reached by a majority", "no", self->come_back(1));
       if (opened.end == ledger::open_end::unknown) {
-        auto now =
-            co_await self->book.look(visit.partner, visit.program, self->runtime.now() + ledger_patience);
-        bool mine = now && !now->open.empty() && now->open.front().visit == visit.visit;
+        auto now = co_await self->book.look(incoming.partner, incoming.program,
+                                            self->runtime.now() + ledger_patience);
+        bool mine = now && !now->open.empty() && now->open.front().request_id == incoming.request_id;
         if (mine) co_await self->book.settle_cut(wish, now->epoch, 0, self->runtime.now() + ledger_patience);
       }
       co_return;
@@ -127,31 +128,31 @@
   auto lease_end = begun + wish.lease_microseconds - ledger_patience;
   auto deadline = begun + static_cast<microseconds>(settings.turn_seconds * second);
   auto turns = co_await self->chain_of(opened.now, std::min(deadline, self->runtime.now() + ledger_patience));
-  auto same_name = [&visit](const ledger::turn_content& each) { return each.turn == visit.turn; };
+  auto same_name = [&incoming](const ledger::turn_content& each) { return each.turn == incoming.turn; };
   if (turns && !broken("names")) {
     // The head remembers its latest endings only; the chain remembers them all.
     auto before = std::find_if(turns->begin(), turns->end(), same_name);
     if (before != turns->end()) {
       co_await self->book.settle_cut(wish, epoch, 0, self->runtime.now() + ledger_patience);
-      self->give_again(visit, *before);
+      self->give_again(incoming, *before);
       co_return;
     }
   }
   std::string reason = "the program's chain can't be read in full";
-  shot_end last = shot_end::failed;
+  attempt_end last = attempt_end::failed;
   if (turns) {
     std::vector<names::index> avoid;
     reason = "no engine could finish the turn";
-    for (int shot = 1; shot <= 4 && last == shot_end::failed; ++shot) {
-      // The desired state may have changed since the last shot; each plan is made under one view of it.
-      if (!self->fresh() || !self->desired->partners.count(visit.partner)) break;
+    for (int attempt = 1; attempt <= 4 && last == attempt_end::failed; ++attempt) {
+      // The desired state may have changed since the last attempt; each plan is made under one view of it.
+      if (!self->fresh() || !self->desired->partners.count(incoming.partner)) break;
       // Nobody waits for it any more: no engine needs to hear of it.
-      if (visit.out->closed()) {
-        last = shot_end::visitor_gone;
+      if (incoming.out->closed()) {
+        last = attempt_end::client_gone;
         break;
       }
-      auto& section = self->desired->partners.at(visit.partner);
-      const auto* now = section.find_program(visit.program);
+      auto& section = self->desired->partners.at(incoming.partner);
+      const auto* now = section.find_program(incoming.program);
       if (!now) break;
       // What was given out under another prefix or model can't be gone on with under the new one.
       bool same = now->shared_prefix == settings.shared_prefix && now->model == settings.model;
@@ -162,21 +163,22 @@
       settings = *now;
       auto model = section.models.find(settings.model);
       if (model == section.models.end()) break;
-      auto prompt = prompt_of(settings, *turns, visit.prompt);
+      auto prompt = prompt_of(settings, *turns, incoming.prompt);
       auto shared = prefix::tokenize(settings.shared_prefix).size();
-      gateway::turn_subject subject{visit.partner, visit.program, visit.visit, model->second, settings,
-                                    prompt,        shared,        0,           deadline,      lease_end};
-      // A later shot goes on where the last one broke off: same tokens in front, the rest of the grant
+      gateway::turn_subject subject{
+          incoming.partner, incoming.program, incoming.request_id, model->second, settings, prompt, shared, 0,
+          deadline,         lease_end};
+      // A later attempt goes on where the last one broke off: same tokens in front, the rest of the grant
       // behind.
       bool spliced = broken("splice");
       if (!spliced) subject.prompt.insert(subject.prompt.end(), done->tokens.begin(), done->tokens.end());
-      subject.most_tokens = visit.most_tokens - static_cast<std::int64_t>(done->tokens.size());
+      subject.most_tokens = incoming.most_tokens - static_cast<std::int64_t>(done->tokens.size());
       if (subject.most_tokens <= 0) {
-        last = shot_end::complete;
+        last = attempt_end::complete;
         break;
       }
-      auto planned = gateway::plan_turn(subject, self->around(avoid, shot), self->engines.rows(), self->held,
-                                        self->runtime.random());
+      auto planned = gateway::plan_turn(subject, self->around(avoid, attempt), self->engines.rows(),
+                                        self->held, self->runtime.random());
       auto* plan = std::get_if<gateway::turn_plan>(&planned);
       if (!plan && std::get<gateway::unplanned>(planned) == gateway::unplanned::hopeless && !broken("hope")) {
         // The last engine that could have taken it is gone: it is answered now, not at the end of its wait.
@@ -184,34 +186,34 @@
         break;
       }
       if (!plan) {
-        auto until = std::min(
-            deadline, begun + static_cast<microseconds>(self->desired->limit.waitlist_seconds * second));
+        auto until = std::min(deadline,
+                              begun + static_cast<microseconds>(self->desired->limit.queue_seconds * second));
         reason = "no engine came free in time";
         bool room = co_await self->wait_for_room(until);
         if (!room) break;
-        --shot;
+        --attempt;
         continue;
       }
-      json fields = visit_fields(visit);
+      json fields = request_fields(incoming);
       fields["engine"] = plan->destination_name;
-      fields["shot"] = shot;
+      fields["attempt"] = attempt;
       fields["revision"] = plan->desired_revision;
       fields["source"] = plan->order.source;
       self->journal.info("turn placed", fields);
       avoid.push_back(plan->destination);
-      last = co_await self->carry_out(std::move(*plan), visit, done);
+      last = co_await self->carry_out(std::move(*plan), incoming, done);
     }
   }
-  if (last == shot_end::complete) {
+  if (last == attempt_end::complete) {
     ledger::turn_content content;
     content.previous = opened.now.digest;
-    content.partner = visit.partner;
-    content.program = visit.program;
-    content.turn = visit.turn;
-    content.prompt = visit.prompt;
+    content.partner = incoming.partner;
+    content.program = incoming.program;
+    content.turn = incoming.turn;
+    content.prompt = incoming.prompt;
     content.output = done->text;
     content.generation = opened.now.generation;
-    content.prompt_tokens = prefix::tokenize(visit.prompt);
+    content.prompt_tokens = prefix::tokenize(incoming.prompt);
     content.output_tokens = done->tokens;
     auto tokens = static_cast<std::int64_t>(done->tokens.size());
     auto settled = co_await self->book.settle_done(wish, epoch, content, tokens, settings.keep_seconds,
@@ -220,20 +222,20 @@
       self->keep_content(ledger::digest_of(ledger::to_text(content)), content);
       self->journal.count("herontally_turns_total{how=\"complete\"}");
       self->send_end(
-          visit, *done, "complete",
+          incoming, *done, "complete",
           {{"tokens", tokens}, {"spent", opened.now.spent + tokens}, {"length", opened.now.length + 1}});
       co_return;
     }
-    // Not lasting, or superseded: to the visitor the turn isn't complete.
+    // Not lasting, or superseded: to the client the turn isn't complete.
     self->journal.count("herontally_turns_total{how=\"unsettled\"}");
-    self->send_end(visit, *done, "cut", {{"reason", "the ledger could not settle the turn"}});
+    self->send_end(incoming, *done, "cut", {{"reason", "the ledger could not settle the turn"}});
     co_return;
   }
   self->journal.count("herontally_turns_total{how=\"cut\"}");
-  if (last == shot_end::lease_over) reason = "the turn's lease is over";
-  if (last == shot_end::too_slow) reason = "the visitor reads too slowly";
-  // What went out is spent. The visitor is told first; the ledger's answer changes nothing for it.
-  self->send_end(visit, *done, "cut", {{"reason", reason}});
+  if (last == attempt_end::lease_over) reason = "the turn's lease is over";
+  if (last == attempt_end::too_slow) reason = "the client reads too slowly";
+  // What went out is spent. The client is told first; the ledger's answer changes nothing for it.
+  self->send_end(incoming, *done, "cut", {{"reason", reason}});
   co_await self->book.settle_cut(wish, epoch, static_cast<std::int64_t>(done->tokens.size()),
                                  self->runtime.now() + ledger_patience);
 }
--- a/src/hscale/main.cc
+++ b/src/hscale/main.cc
@@ -67,7 +67,7 @@
   }
 };
 
-void answer(fleet& own, const runtime::http_visit& request,
+void answer(fleet& own, const runtime::inbound_request& request,
             const std::shared_ptr<runtime::http_writer>& out) {
   if (request.path == "/kill") own.kill(request.query, false);
   if (request.path == "/zone") own.kill(request.query, true);
@@ -79,7 +79,7 @@
   std::string body =
       "process_start_time_seconds 1000\nherontally_engine_ready_seconds 100\n"
       "vllm:num_requests_running 1\nvllm:num_requests_waiting 0\nherontally_engine_draining 0\n";
-  handle.http_serve(address, [body](runtime::http_visit, std::shared_ptr<runtime::http_writer> out) {
+  handle.http_serve(address, [body](runtime::inbound_request, std::shared_ptr<runtime::http_writer> out) {
     out->reply({200, {{"content-type", "text/plain"}}, body});
   });
 }
@@ -115,7 +115,7 @@
   }
   bool served = loop.runtime().http_serve(
       absl::GetFlag(FLAGS_listen),
-      [&own](runtime::http_visit request, std::shared_ptr<runtime::http_writer> out) {
+      [&own](runtime::inbound_request request, std::shared_ptr<runtime::http_writer> out) {
         answer(own, request, out);
       });
   if (!served) herontally::settings::end_with("hscale", {"--listen", "can't be listened on"});
--- a/src/hsim/faults_site.cc
+++ b/src/hsim/faults_site.cc
@@ -82,7 +82,7 @@
   later(span(2, 8), [self = shared_from_this(), name] { self->target.misbehave(name, "well"); });
 }
 
-// One edge machine hears nothing any more, while the state is changed and visitors still reach its door.
+// One edge machine hears nothing any more, while the state is changed and clients still reach its door.
 void faults::state::make_stale() {
   auto agent = pick(target.of_role("hagent"));
   tell("news cut off from " + agent);
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -11,7 +11,7 @@
 ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
 ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
 ABSL_FLAG(double, seconds, 30, "virtual seconds of faults");
-ABSL_FLAG(double, visits_per_second, 5, "programs begun each virtual second");
+ABSL_FLAG(double, requests_per_second, 5, "programs begun each virtual second");
 ABSL_FLAG(bool, story, false, "print each run's faults and counts");
 ABSL_FLAG(std::string, measure, "", "a measurement to make instead");
 ABSL_FLAG(std::string, expect, "", "with --broken: the rule whose violation must be noticed");
@@ -23,7 +23,7 @@
 
 static const char* usage_text =
     "hsim: runs whole sites in virtual time, from seeds, with faults, and checks the never-rules\n\n"
-    "Usage: hsim --seeds A..B [--only KIND,...] [--faults N] [--seconds N] [--visits_per_second N] "
+    "Usage: hsim --seeds A..B [--only KIND,...] [--faults N] [--seconds N] [--requests_per_second N] "
     "[--story]\n\n"
     "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk weights stale "
     "doze total retire add platform warn rollall corrupt twice lender word await upgrade pair\n"
@@ -90,7 +90,7 @@
   choice.faults = static_cast<int>(absl::GetFlag(FLAGS_faults));
   choice.storm_seconds = absl::GetFlag(FLAGS_seconds);
   choice.site.budget_tokens = absl::GetFlag(FLAGS_budget);
-  choice.visits_per_second = absl::GetFlag(FLAGS_visits_per_second);
+  choice.requests_per_second = absl::GetFlag(FLAGS_requests_per_second);
   std::string broken_one = absl::GetFlag(FLAGS_broken);
 #ifdef HERONTALLY_BREAKS
   if (!broken_one.empty()) breaks().insert(broken_one);
@@ -120,10 +120,10 @@
     ++failed;
     printf(
         "seed %llu breaks %zu rules; replay: hsim --seeds %llu..%llu --faults %d --seconds %g "
-        "--visits_per_second %g --deployment %s --budget %lld%s%s --story\n",
+        "--requests_per_second %g --deployment %s --budget %lld%s%s --story\n",
         static_cast<unsigned long long>(seed), report.violations.size(),
         static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed), choice.faults,
-        choice.storm_seconds, choice.visits_per_second, absl::GetFlag(FLAGS_deployment).c_str(),
+        choice.storm_seconds, choice.requests_per_second, absl::GetFlag(FLAGS_deployment).c_str(),
         static_cast<long long>(choice.site.budget_tokens), only.empty() ? "" : " --only ", only.c_str());
     std::size_t shown = 0;
     for (auto& each : report.violations)
--- a/src/hsim/measure.cc
+++ b/src/hsim/measure.cc
@@ -54,7 +54,7 @@
   site place(where, judge, choice);
   fork_result result;
   if (!place.begin()) return result;
-  auto visit = [](site* own, fork_result* out, int number, int* done) -> rt::task<> {
+  auto branch = [](site* own, fork_result* out, int number, int* done) -> rt::task<> {
     auto doors = own->doors();
     auto door = doors[static_cast<std::size_t>(number) % doors.size()];
     auto seen = co_await herontally::simcaller::take_turn(own->callers(), door, "swanreach",
@@ -67,17 +67,17 @@
     ++*done;
   };
   int done = 0;
-  // The one copy that there is before the burst; a young site may drop its first visitors.
+  // The one copy that there is before the burst; a young site may drop its first clients.
   for (int attempt = 0; attempt < 10 && result.complete == 0; ++attempt) {
     done = 0;
-    place.callers().spawn(visit(&place, &result, 0, &done));
+    place.callers().spawn(branch(&place, &result, 0, &done));
     where.run_until([&] { return done == 1; }, 40 * rt::second);
   }
   // The engines' reports of the first turn must have been seen.
   where.run_for(rt::second);
   double computed = sum(place, "engine", "herontally_engine_tokens_computed_total");
   for (int number = 1; number <= branches; ++number) {
-    place.callers().spawn(visit(&place, &result, number, &done));
+    place.callers().spawn(branch(&place, &result, number, &done));
     where.run_for(10 * rt::millisecond);
   }
   where.run_until([&] { return done == branches + 1; }, 60 * rt::second);
--- a/src/hsim/measure_repair.cc
+++ b/src/hsim/measure_repair.cc
@@ -72,7 +72,7 @@
   }
 }
 
-// From the loss to full copies: the newcomer in the view, and nothing missing at any fellow.
+// From the loss to full copies: the newcomer in the view, and nothing missing at any peer.
 void measure_replace() {
   printf(
       "| lost | records | time to a new view s | time to full copies s | messages | bytes "
--- a/src/hsim/measure_site.cc
+++ b/src/hsim/measure_site.cc
@@ -50,7 +50,7 @@
   void load(double rate, double seconds, std::int64_t crowd = 0) {
     herontally::simcaller::options traffic;
     traffic.doors = place.doors();
-    traffic.visits_per_second = rate;
+    traffic.requests_per_second = rate;
     traffic.seconds = seconds;
     traffic.crowd = crowd;
     traffic.crowd_at_second = crowd > 0 ? 0 : -1;
@@ -174,7 +174,7 @@
 
 void measure_crowd() {
   printf(
-      "| visitors at once | turns complete | drops | time to a drop's answer p50 s | most s | first piece "
+      "| clients at once | turns complete | drops | time to a drop's answer p50 s | most s | first piece "
       "p50 s | "
       "p99 s | cut |\n|---|---|---|---|---|---|---|---|\n");
   for (std::int64_t crowd : {100, 500, 2000, 5000}) {
--- a/src/hsim/measure_times.cc
+++ b/src/hsim/measure_times.cc
@@ -28,7 +28,7 @@
 void keep_busy(site& place, oracle& judge, double rate) {
   herontally::simcaller::options traffic;
   traffic.doors = place.doors();
-  traffic.visits_per_second = rate;
+  traffic.requests_per_second = rate;
   traffic.seconds = 60;
   herontally::simcaller::watcher eyes;
   eyes.begin = [&judge](const auto& asked) { judge.turn_begins(asked); };
@@ -64,7 +64,7 @@
     keep_busy(place, judge, 20);
     where.run_for(8 * rt::second);
 
-    // An engine that takes whatever comes is shown as leaving; how long do visits still reach it?
+    // An engine that takes whatever comes is shown as leaving; how long do requests still reach it?
     std::string victim = "model-1";
     auto told = where.now();
     place.roll_engine(victim, "v1");
--- a/src/hsim/oracle.cc
+++ b/src/hsim/oracle.cc
@@ -109,10 +109,10 @@
     self.fail("budget", seen.program + " got " + std::to_string(program.streamed) + " tokens");
   if (seen.status == 402) turn.told_spent = true;
   if (seen.status != 0 && seen.status != 200) ++self.dropped;
-  if (seen.ran == "no" && !seen.visit.empty()) {
-    self.never_run.insert(seen.visit);
-    if (self.ran.count(seen.visit))
-      self.fail("not run", "visit " + seen.visit + " was said not to have run, but had");
+  if (seen.ran == "no" && !seen.request_id.empty()) {
+    self.never_run.insert(seen.request_id);
+    if (self.ran.count(seen.request_id))
+      self.fail("not run", "request " + seen.request_id + " was said not to have run, but had");
   }
   if (seen.status == 200) self.check_text(seen);
   if (seen.end == "complete") {
@@ -137,11 +137,11 @@
     // One key, one result, whoever asks.
     if (call.codes.size() > 1 && !seen.key.empty()) self.fail("once", "key " + seen.key + " had two results");
   }
-  if (seen.ran == "no" && !seen.visit.empty()) {
-    self.never_run.insert(seen.visit);
-    for (auto& visit : self.ran)
-      if (visit.rfind(seen.visit, 0) == 0)
-        self.fail("not run", "call " + visit + " was said not to have run, but had");
+  if (seen.ran == "no" && !seen.request_id.empty()) {
+    self.never_run.insert(seen.request_id);
+    for (auto& request_id : self.ran)
+      if (request_id.rfind(seen.request_id, 0) == 0)
+        self.fail("not run", "call " + request_id + " was said not to have run, but had");
   }
 }
 
@@ -153,7 +153,7 @@
     for (auto& [number, turn] : program.turns) {
       spent = spent || turn.told_spent;
       begun = begun || turn.complete;
-      // A turn that its visitor gave up and went on behind isn't gone back to.
+      // A turn that its client gave up and went on behind isn't gone back to.
       if (!turn.complete && !gap) next = {name, turn.prompt, number};
       gap = gap || !turn.complete;
     }
--- a/src/hsim/oracle.h
+++ b/src/hsim/oracle.h
@@ -1,4 +1,4 @@
-// Outside the nodes: is told what visitors, engines and operators saw, and checks the never-rules by it.
+// Outside the nodes: is told what clients, engines and operators saw, and checks the never-rules by it.
 #pragma once
 #include <map>
 #include <nlohmann/json.hpp>
--- a/src/hsim/oracle_chain.cc
+++ b/src/hsim/oracle_chain.cc
@@ -63,7 +63,7 @@
       if (number < start->first) break;
       auto expected = base(program, start->first, number, offered[marker].ids);
       if (!begins(what.prompt, expected)) continue;
-      // Behind the chain only what the model itself had given in an earlier shot.
+      // Behind the chain only what the model itself had given in an earlier attempt.
       auto rest =
           tokens(what.prompt.begin() + static_cast<std::ptrdiff_t>(expected.size()), what.prompt.end());
       if (rest != ids_of(continuation(expected, static_cast<std::int64_t>(rest.size())))) continue;
@@ -75,7 +75,7 @@
       return check_state(title, marker, what.sent);
     }
   }
-  fail("chain", name + ": the prompt at visit " + what.visit + " is not the program's chain");
+  fail("chain", name + ": the prompt at request " + what.request_id + " is not the program's chain");
 }
 
 }  // namespace hsim
--- a/src/hsim/oracle_engines.cc
+++ b/src/hsim/oracle_engines.cc
@@ -23,8 +23,8 @@
   }
 }
 
-// No slack: a visit counts by when its sender let it go. How long it may then be under way is the world's and
-// the runtime's affair (`connect_patience`).
+// No slack: a request counts by when its sender let it go. How long it may then be under way is the world's
+// and the runtime's affair (`connect_patience`).
 void oracle::state::check_arrival(const engine_facts& engine, const run& what) {
   if (engine.learned_leaving >= 0 && what.sent > engine.learned_leaving + 3 * rt::second)
     fail("drain", engine.name + " got " + what.what + " " +
@@ -67,7 +67,7 @@
     if (what.what == "arrive-pull") self.check_cold(facts, what, "lends", 1, facts.most_pulls);
     auto marker = what.what == "arrive-call" ? what.path.rfind('/') : std::string::npos;
     if (marker != std::string::npos)
-      self.check_state("call " + what.visit, atoll(what.path.c_str() + marker + 1), what.sent);
+      self.check_state("call " + what.request_id, atoll(what.path.c_str() + marker + 1), what.sent);
     return;
   }
   if (what.what == "borrow") {
@@ -86,10 +86,10 @@
     return;
   }
   ++self.runs;
-  self.ran.insert(what.visit);
-  for (auto& visit : self.never_run)
-    if (what.visit.rfind(visit, 0) == 0)
-      self.fail("not run", "visit " + visit + " ran after it was said not to have run");
+  self.ran.insert(what.request_id);
+  for (auto& request_id : self.never_run)
+    if (what.request_id.rfind(request_id, 0) == 0)
+      self.fail("not run", "request " + request_id + " ran after it was said not to have run");
   if (what.what == "call") {
     auto& call = self.calls[what.key];
     call.runs += 1;
--- a/src/hsim/oracle_state.h
+++ b/src/hsim/oracle_state.h
@@ -20,7 +20,7 @@
 };
 struct known_program {
   std::map<std::int64_t, asked_turn> turns;
-  std::int64_t streamed = 0;  // tokens that any visitor got
+  std::int64_t streamed = 0;  // tokens that any client got
 };
 struct known_state {
   offered_state given;
@@ -43,7 +43,7 @@
   std::map<std::int64_t, known_state> offered;  // by marker
   std::map<std::string, known_program> programs;
   std::map<std::string, known_call> calls;
-  std::set<std::string> never_run, ran;  // visits
+  std::set<std::string> never_run, ran;  // requests
   std::map<std::string, block_owner> blocks;
   std::map<std::string, microseconds> evacuated;
   std::vector<std::pair<microseconds, std::int64_t>> acknowledged;  // when, revision
--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -57,9 +57,9 @@
     herontally::simcaller::options traffic;
     traffic.doors = place.doors();
     traffic.shape = partner.name;
-    traffic.visits_per_second = choice.visits_per_second;
+    traffic.requests_per_second = choice.requests_per_second;
     traffic.seconds = choice.storm_seconds;
-    // Some visitors turn to another door while the first may still be at work.
+    // Some clients turn to another door while the first may still be at work.
     traffic.patience_seconds = patience;
     traffic.crowd_at_second = static_cast<double>(5 + where.draw(20));
     traffic.crowd = static_cast<std::int64_t>(where.draw(4) ? where.draw(60) : 200 + where.draw(300));
--- a/src/hsim/scenario.h
+++ b/src/hsim/scenario.h
@@ -9,7 +9,7 @@
   std::uint64_t seed = 1;
   std::vector<std::string> only;  // kinds of faults; empty: all
   int faults = 8;
-  double storm_seconds = 30, visits_per_second = 5;
+  double storm_seconds = 30, requests_per_second = 5;
   bool final_loss = true;  // ends with the loss of everything
   site_options site;
 };
--- a/src/hsim/site.h
+++ b/src/hsim/site.h
@@ -20,7 +20,7 @@
   std::vector<partner_shape> partners{swanreach(4, 2), zastavica(0, 0)};
   bool vary = false;             // states differ in zone weights and thresholds, too
   std::int64_t keep_growth = 0;  // states differ in keeping times by this many seconds
-  std::int64_t visitor_buffer_kilobytes = 256;
+  std::int64_t client_buffer_kilobytes = 256;
   nlohmann::json min_cached_token_delta = 64;
   std::int64_t budget_tokens = 100000, budget_growth = 0, most_running = 4, turns_per_engine = 6,
                cold_turns = 1;
--- a/src/hsim/site_engines.cc
+++ b/src/hsim/site_engines.cc
@@ -58,8 +58,8 @@
   std::weak_ptr<state> weak = state_;
   auto now = self.where.now();
   auto* own = this;
-  // The warning comes while visits may still be under way, the kill some seconds later. Some engines take
-  // whatever comes until then: only we can keep visits away from them.
+  // The warning comes while requests may still be under way, the kill some seconds later. Some engines take
+  // whatever comes until then: only we can keep requests away from them.
   bool knows = self.where.draw(2);
   self.where.at(now + 4 * rt::second, [weak, own, name, knows] {
     auto here = weak.lock();
--- a/src/hsim/site_operators.cc
+++ b/src/hsim/site_operators.cc
@@ -55,7 +55,7 @@
   json shared{
       {"evacuated_zones", state_->evacuated},
       {"limits",
-       {{"visits_per_visitor", 100000}, {"visitor_buffer_kilobytes", choice.visitor_buffer_kilobytes}}}};
+       {{"requests_per_client", 100000}, {"client_buffer_kilobytes", choice.client_buffer_kilobytes}}}};
   return {{"shared", shared}, {"partners", partners}};
 }
 
--- a/src/hsim/world.h
+++ b/src/hsim/world.h
@@ -32,7 +32,7 @@
   bool up = false, frozen = false;
   std::uint64_t life = 0;
   microseconds booted = 0;
-  bool stalled = false;  // as a visitor: reads nothing of what it is sent
+  bool stalled = false;  // as a client: reads nothing of what it is sent
   microseconds clock_offset = 0, wall_skew = 0;
   std::optional<herontally::runtime::handle> runtime;
   std::map<std::string, herontally::runtime::message_handler> inner;
@@ -73,7 +73,7 @@
   void cut(const std::string& from, const std::string& to);
   void heal(const std::string& from, const std::string& to);
   void heal_all();
-  // A visitor's machine that reads nothing until it is let go on.
+  // A client's machine that reads nothing until it is let go on.
   void stall(const std::string& name, bool on);
 
   void at(microseconds when, std::function<void()> work);
--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -13,7 +13,7 @@
   bool pooled = false, passed_over = false;  // the answer is another request's
   bool last = false;                         // the server wants no further request on this connection
   bool client_closed = false, server_knows = false, ended = false, replied = false, arrived = false;
-  std::size_t unread_bytes = 0;   // what a stalled visitor leaves lying
+  std::size_t unread_bytes = 0;   // what a stalled client leaves lying
   microseconds last_arrival = 0;  // pieces arrive in the order they were sent in
 };
 
@@ -165,33 +165,33 @@
     }
     exchange->server = target->name;
     exchange->server_life = target->life;
-    rt::http_visit visit;
-    visit.method = request.method;
-    visit.target = request.path;
+    rt::inbound_request incoming;
+    incoming.method = request.method;
+    incoming.target = request.path;
     auto query = request.path.find('?');
-    visit.path = request.path.substr(0, query);
-    if (query != std::string::npos) visit.query = request.path.substr(query + 1);
-    visit.body = request.body;
-    visit.peer = name + ":1";
+    incoming.path = request.path.substr(0, query);
+    if (query != std::string::npos) incoming.query = request.path.substr(query + 1);
+    incoming.body = request.body;
+    incoming.peer = name + ":1";
     for (auto& [header, value] : request.headers) {
       std::string lower = header;
       for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
-      visit.headers[lower] = value;
+      incoming.headers[lower] = value;
     }
-    // For the oracle: when the visit left its sender.
-    visit.headers["x-sim-sent"] = std::to_string(here->now);
+    // For the oracle: when the request left its sender.
+    incoming.headers["x-sim-sent"] = std::to_string(here->now);
     auto bytes = request.body.size() + 200;
-    auto deliver = [weak, exchange, address, visit] {
+    auto deliver = [weak, exchange, address, incoming] {
       auto world = weak.lock();
-      // Bytes follow the handshake: a visit that was given up before it got through never arrives.
+      // Bytes follow the handshake: a request that was given up before it got through never arrives.
       if (!world || exchange->client_closed || exchange->ended) return;
       exchange->arrived = true;
       auto& place = *world->machines.at(exchange->server);
       auto handler = place.http.find(address);
-      if (handler != place.http.end()) handler->second(visit, make_writer(weak, exchange));
+      if (handler != place.http.end()) handler->second(incoming, make_writer(weak, exchange));
     };
     here->carry(name, exchange->server, exchange->server_life, std::move(deliver), bytes);
-    // A channel that isn't made within this time is given up, and with it the visit that it was for.
+    // A channel that isn't made within this time is given up, and with it the request that it was for.
     here->schedule(request.patience, name, life, [weak, exchange] {
       auto world = weak.lock();
       if (!world || exchange->arrived || exchange->ended || exchange->client_closed) return;
--- a/src/hstore/expiry.h
+++ b/src/hstore/expiry.h
@@ -10,7 +10,7 @@
 runtime::task<> expire_forever(reg::voter voter, reg::proposer group, members::members known);
 
 // Programs' heads and kept turns go by the times that they carry themselves: every node clears its own disk,
-// and what a fellow hands back meanwhile goes again with the next pass.
+// and what a peer hands back meanwhile goes again with the next pass.
 runtime::task<> expire_programs_forever(reg::voter voter, runtime::handle runtime, logging::journal journal);
 
 }  // namespace herontally::hstore
--- a/src/hstore/expiry_programs.cc
+++ b/src/hstore/expiry_programs.cc
@@ -26,11 +26,11 @@
   const std::string prefix = std::string("k/") + ledger::program_prefix;
   do {
     std::vector<std::string> overdue;
-    auto visit = [&](const std::string& record, const std::string& bytes) {
+    auto handle_record = [&](const std::string& record, const std::string& bytes) {
       auto [promised, value] = reg::voter::parts_of(bytes);
       if (may_go(runtime.wall(), promised, value)) overdue.push_back(record.substr(2));
     };
-    after = voter.visit_records(bucket, prefix, after, one_step, visit);
+    after = voter.for_each_record(bucket, prefix, after, one_step, handle_record);
     auto sure = [runtime](const wire::ballot& promised, const std::optional<std::string>& value) {
       return may_go(runtime.wall(), promised, value);
     };
@@ -45,12 +45,12 @@
   const std::string prefix = std::string("c/") + ledger::turn_prefix;
   do {
     std::vector<std::string> overdue;
-    auto visit = [&](const std::string& record, const std::string& bytes) {
+    auto handle_record = [&](const std::string& record, const std::string& bytes) {
       auto kept_until = ledger::kept_until_of(bytes);
       if (kept_until && runtime.wall() > *kept_until + ledger::keep_margin)
         overdue.push_back(record.substr(2));
     };
-    after = voter.visit_records(bucket, prefix, after, one_step, visit);
+    after = voter.for_each_record(bucket, prefix, after, one_step, handle_record);
     if (!overdue.empty()) {
       journal.count("herontally_turns_expired_total", static_cast<double>(overdue.size()));
       co_await voter.forget(std::move(overdue));
--- a/src/hstore/node.cc
+++ b/src/hstore/node.cc
@@ -69,10 +69,10 @@
   self->runtime.spawn(self->voter.repair_forever());
   self->runtime.spawn(expire_forever(self->voter, self->group, self->known));
   self->runtime.spawn(state::watch_forever(self));
-  bool served =
-      self->runtime.http_serve(self->place.http, [weak](runtime::http_visit visit, gateway::writer out) {
+  bool served = self->runtime.http_serve(
+      self->place.http, [weak](runtime::inbound_request handle_record, gateway::writer out) {
         auto here = weak.lock();
-        if (!here || gateway::common_pages(visit, out, here->journal, here->ready)) return;
+        if (!here || gateway::common_pages(handle_record, out, here->journal, here->ready)) return;
         gateway::drop(out, 404, "no such page", "no");
       });
   if (!served) co_return "http can't be listened on: " + self->place.http;
--- a/src/ledger/book.cc
+++ b/src/ledger/book.cc
@@ -21,7 +21,7 @@
 static void close_lapsed(head& now) {
   auto& left = now.open.front();
   now.spent += left.amount;
-  add_ending(now, {left.turn, "lapsed", "", left.visit, left.amount});
+  add_ending(now, {left.turn, "lapsed", "", left.request_id, left.amount});
   now.open.clear();
 }
 
@@ -64,7 +64,7 @@
     if (!now.open.empty()) {
       auto& other = now.open.front();
       // Our own earlier round went through, though its answer was lost.
-      if (other.visit == wish.visit) {
+      if (other.request_id == wish.request_id) {
         result->end = open_end::granted;
         result->now = now;
         return std::nullopt;
@@ -108,7 +108,7 @@
       return decide(open_end::spent);
     }
     now.epoch += 1;
-    grant mine{wish.turn,   wish.visit,
+    grant mine{wish.turn,   wish.request_id,
                wish.owner,  wish.owner_incarnation,
                wish.amount, runtime.wall() + wish.lease_microseconds};
     now.open.push_back(mine);
@@ -173,12 +173,12 @@
                  runtime](const std::optional<std::string>& text) -> std::optional<std::string> {
     head now = from_text(text);
     *mine = false;
-    bool still =
-        now.readable && !now.open.empty() && now.open.front().visit == wish.visit && now.epoch == epoch;
+    bool still = now.readable && !now.open.empty() && now.open.front().request_id == wish.request_id &&
+                 now.epoch == epoch;
     if (broken("fence")) still = true;
     if (!still) {
       // An earlier round of this settlement may have gone through; otherwise somebody superseded us.
-      auto* before = find_visit(now, wish.visit);
+      auto* before = find_request(now, wish.request_id);
       *mine = before && before->how == last.how && before->digest == last.digest;
       return std::nullopt;
     }
@@ -206,13 +206,13 @@
   // The content lasts at a majority before any head can name it.
   bool stored = co_await stores_.put_content(digest, std::move(text), deadline, true);
   if (!stored) co_return settle_end::unreachable;
-  ending last{wish.turn, "done", digest, wish.visit, tokens};
+  ending last{wish.turn, "done", digest, wish.request_id, tokens};
   co_return co_await settle(std::move(wish), epoch, std::move(last), keep_seconds, deadline);
 }
 
 task<settle_end> book::settle_cut(turn_wish wish, std::int64_t epoch, std::int64_t tokens,
                                   microseconds deadline) {
-  ending last{wish.turn, "cut", "", wish.visit, tokens};
+  ending last{wish.turn, "cut", "", wish.request_id, tokens};
   co_return co_await settle(std::move(wish), epoch, std::move(last), 0, deadline);
 }
 
--- a/src/ledger/book.h
+++ b/src/ledger/book.h
@@ -7,7 +7,7 @@
 namespace herontally::ledger {
 
 struct turn_wish {
-  std::string partner, program, turn, visit, owner;
+  std::string partner, program, turn, request_id, owner;
   std::int64_t owner_incarnation = 0;
   std::int64_t budget = 0, amount = 0, lease_microseconds = 0;
 };
@@ -55,7 +55,8 @@
     call_receipt receipt;
   };
   runtime::task<call_result> begin_call(std::string key, call_receipt first, runtime::microseconds deadline);
-  // Moves on the receipt of this visit's shot; false when it no longer is this shot's, or can't be settled.
+  // Moves on the receipt of this request's attempt; false when it no longer is this attempt's, or can't be
+  // settled.
   runtime::task<bool> end_call(std::string key, call_receipt last, runtime::microseconds deadline);
   struct call_look {
     bool read = false;  // false: no majority could be asked
--- a/src/ledger/book_calls.cc
+++ b/src/ledger/book_calls.cc
@@ -16,21 +16,22 @@
       result->end = call_end::mismatch;
       return std::nullopt;
     }
-    // A shot that was agreed never to run leaves the key free for the next one.
+    // A attempt that was agreed never to run leaves the key free for the next one.
     bool free = !now || now->state == "not-run";
     if (!free) {
-      result->end = now->visit == first.visit || broken("started") ? call_end::mine : call_end::found;
+      result->end =
+          now->request_id == first.request_id || broken("started") ? call_end::mine : call_end::found;
       result->receipt = *now;
       return std::nullopt;
     }
-    // This visit's own shot was already ended as not run, by somebody else: it must not come back.
-    if (now && now->visit == first.visit) {
+    // This request's own attempt was already ended as not run, by somebody else: it must not come back.
+    if (now && now->request_id == first.request_id) {
       result->end = call_end::found;
       result->receipt = *now;
       return std::nullopt;
     }
     call_receipt next = first;
-    next.shot = now ? now->shot + 1 : 1;
+    next.attempt = now ? now->attempt + 1 : 1;
     result->end = call_end::mine;
     result->receipt = next;
     return to_text(next);
@@ -47,8 +48,10 @@
   auto mine = std::make_shared<bool>(false);
   auto mutate = [last, mine](const std::optional<std::string>& text) -> std::optional<std::string> {
     auto now = receipt_from(text);
-    *mine = now && now->visit == last.visit && now->shot == last.shot && now->state == last.state;
-    bool still = now && now->visit == last.visit && now->shot == last.shot && now->state == "started";
+    *mine =
+        now && now->request_id == last.request_id && now->attempt == last.attempt && now->state == last.state;
+    bool still =
+        now && now->request_id == last.request_id && now->attempt == last.attempt && now->state == "started";
     if (!still) return std::nullopt;
     *mine = true;
     return to_text(last);
--- a/src/ledger/head.cc
+++ b/src/ledger/head.cc
@@ -79,9 +79,9 @@
     if (each.turn == turn && each.how == "done") return &each;
   return nullptr;
 }
-const ending* find_visit(const head& content, const std::string& visit) {
+const ending* find_request(const head& content, const std::string& request_id) {
   for (auto& each : content.endings)
-    if (each.visit == visit) return &each;
+    if (each.request_id == request_id) return &each;
   return nullptr;
 }
 
@@ -114,7 +114,7 @@
   return "p/" + partner + "/" + program;
 }
 std::string receipt_key(const std::string& partner, const std::string& route, const std::string& key) {
-  // The visitor's key may hold any bytes and any length; its digest doesn't.
+  // The client's key may hold any bytes and any length; its digest doesn't.
   return "r/" + partner + "/" + route + "/" + digest_of(key).substr(0, 40);
 }
 
--- a/src/ledger/head.h
+++ b/src/ledger/head.h
@@ -10,16 +10,16 @@
 // Times are of the wall clock, in microseconds. They only hurry matters along: a grant that was taken for
 // abandoned too early loses its turn, never tokens that nobody counted.
 struct grant {
-  std::string turn, visit, owner;
+  std::string turn, request_id, owner;
   std::int64_t owner_incarnation = 0, amount = 0, lease_until = 0;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(grant, turn, visit, owner, owner_incarnation, amount, lease_until)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(grant, turn, request_id, owner, owner_incarnation, amount, lease_until)
 };
 
-// How a visit's turn ended: "done" (content digest), "cut" or "lapsed" (its owner vanished).
+// How a request's turn ended: "done" (content digest), "cut" or "lapsed" (its owner vanished).
 struct ending {
-  std::string turn, how, digest, visit;
+  std::string turn, how, digest, request_id;
   std::int64_t tokens = 0;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ending, turn, how, digest, visit, tokens)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(ending, turn, how, digest, request_id, tokens)
 };
 
 struct head {
@@ -55,7 +55,7 @@
 void begin_conversation(head& content);
 head from_text(const std::optional<std::string>& text);
 const ending* find_done(const head& content, const std::string& turn);
-const ending* find_visit(const head& content, const std::string& visit);
+const ending* find_request(const head& content, const std::string& request_id);
 void add_ending(head& content, ending last);
 bool was_told_spent(const head& content, const std::string& turn);
 
@@ -74,14 +74,14 @@
 std::string head_key(const std::string& partner, const std::string& program);
 std::string receipt_key(const std::string& partner, const std::string& route, const std::string& key);
 
-// An effectful call's receipt. "started": may have run; "done": ran, with this answer; "not-run": shot never
-// runs; "gone": ran, and its answer's keeping time is over.
+// An effectful call's receipt. "started": may have run; "done": ran, with this answer; "not-run": attempt
+// never runs; "gone": ran, and its answer's keeping time is over.
 struct call_receipt {
-  std::string state, visit, body_digest, engine, content_type, answer;
-  std::int64_t shot = 0, status = 0, started = 0, keep_until = 0;
+  std::string state, request_id, body_digest, engine, content_type, answer;
+  std::int64_t attempt = 0, status = 0, started = 0, keep_until = 0;
   bool readable = true;
-  NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_receipt, state, visit, body_digest, engine, content_type, answer, shot,
-                                 status, started, keep_until)
+  NLOHMANN_DEFINE_TYPE_INTRUSIVE(call_receipt, state, request_id, body_digest, engine, content_type, answer,
+                                 attempt, status, started, keep_until)
 };
 std::string to_text(const call_receipt& content);
 std::optional<call_receipt> receipt_from(const std::optional<std::string>& text);
--- a/src/ledger/program_turns.cc
+++ b/src/ledger/program_turns.cc
@@ -151,8 +151,8 @@
         co_return found;
       }
       // Only a voter of this view that was asked by its own id speaks for it: one that lost its disk is a
-      // stranger. A kept turn is at a quorum of the view, so that a quorum without it proves that it isn't
-      // kept; while a view changes that takes both majorities.
+      // unknown voter. A kept turn is at a quorum of the view, so that a quorum without it proves that it
+      // isn't kept; while a view changes that takes both majorities.
       if (word->receipt->verdict == "yes" && word->receipt->bodies.empty()) lacking.insert(word->id);
       if (used.quorum([&lacking](const std::string& id) { return lacking.count(id) > 0; })) {
         chain_result none;
--- a/src/news/board.h
+++ b/src/news/board.h
@@ -38,11 +38,11 @@
 class freshness {
  public:
   freshness(runtime::handle runtime, std::string own_name);
-  // A core or a fellow vouched for everything up to this moment of our own clock.
+  // A core or a peer vouched for everything up to this moment of our own clock.
   void vouched(runtime::microseconds moment);
-  // A fellow edge told its revision at a moment not before this one, and we know at least that revision.
+  // A peer edge told its revision at a moment not before this one, and we know at least that revision.
   void heard_edge(const std::string& name, runtime::microseconds moment);
-  // How long ago each fellow was heard, for those who ask us.
+  // How long ago each peer was heard, for those who ask us.
   std::map<std::string, std::int64_t> ages_milliseconds() const;
   void edges(const std::vector<std::string>& now, const std::vector<std::string>& before);
   runtime::microseconds moment() const;
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -78,8 +78,7 @@
     std::int64_t lead = tokens(asked, engines[position]);
     if (lead < most - asked.near_tie_tokens || lead - own <= *asked.min_cached_token_delta) continue;
     near.push_back(position);
-    weights.push_back(1.0 /
-                      (1.0 + static_cast<double>(std::max<std::int64_t>(0, engines[position].waitlist))));
+    weights.push_back(1.0 / (1.0 + static_cast<double>(std::max<std::int64_t>(0, engines[position].queue))));
     total += weights.back();
   }
   double drawn = uniform(random) * total;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -19,7 +19,7 @@
   bool draining = false;      // the platform or the engine itself said so
   bool evacuated = false;     // its zone is
   std::int64_t reported = 0;  // waiting and running, by its own last report
-  std::int64_t waitlist = 0;  // waiting alone
+  std::int64_t queue = 0;     // waiting alone
   std::int64_t unseen = 0;    // ours, sent on since that report
   std::int64_t ours = 0;      // ours in all
   std::int64_t our_pulls = 0,
@@ -43,7 +43,7 @@
   // has no share. While the list changes the one before counts as well, and the smaller share holds.
   std::int64_t proxies = 1, rank = 0, proxies_before = 0, rank_before = 0;
   desired::table table;
-  std::vector<names::index> avoid;  // engines that earlier shots of this visit failed on
+  std::vector<names::index> avoid;  // engines that earlier attempts of this request failed on
 };
 
 struct choice {
--- a/src/register/buckets.cc
+++ b/src/register/buckets.cc
@@ -60,7 +60,7 @@
   auto self = shared_from_this();
   auto runtime = port.runtime();
   while (true) {
-    auto first = co_await which->waitlist.pop(-1);
+    auto first = co_await which->queue.pop(-1);
     if (!first) continue;
     if (first->alone) {
       co_await first->alone();
@@ -75,8 +75,8 @@
     std::vector<command> commands;
     commands.push_back(std::move(*first));
     std::optional<command> alone;
-    while (!which->waitlist.empty() && commands.size() < 256 && !alone) {
-      auto next = co_await which->waitlist.pop(0);
+    while (!which->queue.empty() && commands.size() < 256 && !alone) {
+      auto next = co_await which->queue.pop(0);
       if (next && next->alone)
         alone = std::move(next);
       else if (next)
@@ -114,7 +114,7 @@
       overlay[record] = std::nullopt;
       return [done](bool lasting, bool) { done.set(lasting); };
     };
-    self->bucket_of(record).waitlist.push(std::move(removal));
+    self->bucket_of(record).queue.push(std::move(removal));
     waits.push_back({record, done});
   }
   for (auto& [record, done] : waits) {
@@ -144,7 +144,7 @@
       if (removed) overlay[record] = std::nullopt;
       return [done, removed](bool lasting, bool) { done.set(lasting && removed); };
     };
-    holder.waitlist.push(std::move(removal));
+    holder.queue.push(std::move(removal));
     waits.push_back(done);
   }
   int removed = 0;
@@ -163,15 +163,15 @@
 
 int voter::bucket_count() const { return static_cast<int>(state_->buckets.size()); }
 
-std::string voter::visit_records(
+std::string voter::for_each_record(
     int which, const std::string& prefix, const std::string& after, int limit,
-    const std::function<void(const std::string& record, const std::string& bytes)>& visit) const {
+    const std::function<void(const std::string& record, const std::string& bytes)>& handle_record) const {
   auto& records = state_->buckets[static_cast<std::size_t>(which)]->store.records();
   auto entry = after.empty() ? records.lower_bound(prefix) : records.upper_bound(after);
   std::string last;
   for (int seen = 0; seen < limit; ++seen, ++entry) {
     if (entry == records.end() || entry->first.rfind(prefix, 0) != 0) return "";
-    visit(entry->first, entry->second);
+    handle_record(entry->first, entry->second);
     last = entry->first;
   }
   return last;
--- a/src/register/contents.cc
+++ b/src/register/contents.cc
@@ -1,4 +1,4 @@
-// Contents by digest, listing of records, and telling replicas what a fellow missed.
+// Contents by digest, listing of records, and telling replicas what a peer missed.
 #include "register/proposer_state.h"
 
 namespace herontally::reg {
--- a/src/register/fill.cc
+++ b/src/register/fill.cc
@@ -18,7 +18,7 @@
 
 wire::records_receipt voter::state::records(const wire::records_ask& question) const {
   wire::records_receipt receipt;
-  receipt.verdict = question.voter != id ? "stranger" : question.view != current.number ? "view" : "yes";
+  receipt.verdict = question.voter != id ? "unknown voter" : question.view != current.number ? "view" : "yes";
   if (wiping || !opened) receipt.verdict = "failed";
   if (receipt.verdict != "yes") return receipt;
   std::size_t bytes = 0;
@@ -52,7 +52,7 @@
     }
     return [done](bool lasting, bool) { done.set(lasting); };
   };
-  holder.waitlist.push(std::move(work));
+  holder.queue.push(std::move(work));
   return done;
 }
 
--- a/src/register/proposer.cc
+++ b/src/register/proposer.cc
@@ -62,7 +62,7 @@
     }
     if (receipt.verdict == "behind") result.behind = true;
     if (receipt.verdict == "full") result.full = true;
-    if (receipt.verdict == "stranger") self->strangers = true;
+    if (receipt.verdict == "unknown voter") self->unknown_voters = true;
     if (receipt.verdict != "yes") continue;
     yes.insert(word->id);
     result.receipts.push_back(std::move(receipt));
@@ -110,7 +110,7 @@
     // One newer view is enough to go on with; voters correct it if there is a newer one still.
     if (self->current.number > before) break;
   }
-  self->strangers = false;
+  self->unknown_voters = false;
 }
 
 task<change_result> proposer::change(std::string key, mutator next, microseconds deadline, bool urgent) {
@@ -132,7 +132,7 @@
                              static_cast<microseconds>(runtime.draw(static_cast<std::uint64_t>(most))));
       self->port.journal().count("herontally_register_collisions_total");
     }
-    if (self->current.voters.empty() || self->strangers) co_await refresh(deadline);
+    if (self->current.voters.empty() || self->unknown_voters) co_await refresh(deadline);
     wire::voter_ask question;
     question.step = "prepare";
     question.key = key;
--- a/src/register/proposer_state.h
+++ b/src/register/proposer_state.h
@@ -6,7 +6,7 @@
 
 namespace herontally::reg {
 
-// Long enough for a disk's slow sync, short enough that a frozen voter costs no visit its deadline.
+// Long enough for a disk's slow sync, short enough that a frozen voter costs no request its deadline.
 constexpr runtime::microseconds round_timeout = 600 * runtime::millisecond;
 
 struct voter_word {
@@ -35,7 +35,7 @@
   view current;
   std::function<std::vector<std::string>()> seeds;
   std::int64_t identity, counter = 0, highest_seen = 0;
-  bool strangers = false;
+  bool unknown_voters = false;
   // What was used last is in the young map; once that is full it takes the place of the old one, whose
   // entries nobody has used for as long.
   std::unordered_map<std::string, head_start> ahead, ahead_old;
--- a/src/register/repair.cc
+++ b/src/register/repair.cc
@@ -1,4 +1,4 @@
-// Repair between voters: each compares itself with its fellows and hands over what they miss.
+// Repair between voters: each compares itself with its peers and hands over what they miss.
 #include "register/voter_state.h"
 
 namespace herontally::reg {
@@ -10,20 +10,20 @@
 constexpr microseconds repair_timeout = 600 * millisecond;
 constexpr std::int64_t page = 1000;
 
-// Side by side, so that the fellow takes several with one sync.
-constexpr std::size_t gifts_at_once = 16;
+// Side by side, so that the peer takes several with one sync.
+constexpr std::size_t handovers_at_once = 16;
 
-static task<bool> give(wire::port port, voter_place fellow, std::int64_t number, std::string record,
+static task<bool> give(wire::port port, voter_place peer, std::int64_t number, std::string record,
                        std::string bytes) {
   if (record[0] == 'c') {
-    wire::content_put copy{fellow.id, record.substr(2), bytes, true, 0};
-    auto result = co_await port.ask(fellow.address, std::move(copy), repair_timeout);
+    wire::content_put copy{peer.id, record.substr(2), bytes, true, 0};
+    auto result = co_await port.ask(peer.address, std::move(copy), repair_timeout);
     auto* receipt = std::get_if<wire::content_put_receipt>(&result);
     co_return receipt && receipt->verdict == "yes";
   }
   auto content = cell::unpack(bytes);
-  wire::handover copy{fellow.id, number, record.substr(2), content.accepted, content.value};
-  auto result = co_await port.ask(fellow.address, std::move(copy), repair_timeout);
+  wire::handover copy{peer.id, number, record.substr(2), content.accepted, content.value};
+  auto result = co_await port.ask(peer.address, std::move(copy), repair_timeout);
   auto* receipt = std::get_if<wire::handover_receipt>(&result);
   co_return receipt && receipt->verdict == "yes";
 }
@@ -41,22 +41,22 @@
   co_return wire::handover_receipt{receipt.verdict};
 }
 
-// Walks the fellow's records of a range (-1: all) page by page beside our own, in the order of keys. Returns
+// Walks the peer's records of a range (-1: all) page by page beside our own, in the order of keys. Returns
 // how many it missed, -1 if it could not be asked.
-task<std::int64_t> voter::state::compare_range(voter_place fellow, std::int64_t range) {
+task<std::int64_t> voter::state::compare_range(voter_place peer, std::int64_t range) {
   auto self = shared_from_this();
   std::string after;
   std::int64_t missing = 0;
   while (true) {
-    wire::keys_ask question{fellow.id, after, page, range, 0};
-    auto result = co_await self->port.ask(fellow.address, std::move(question), repair_timeout);
+    wire::keys_ask question{peer.id, after, page, range, 0};
+    auto result = co_await self->port.ask(peer.address, std::move(question), repair_timeout);
     auto* receipt = std::get_if<wire::keys_receipt>(&result);
     if (!receipt || receipt->verdict != "yes") co_return -1;
     std::map<std::string, wire::ballot> theirs;
     for (std::size_t position = 0; position < receipt->keys.size(); ++position)
       theirs[receipt->keys[position]] = receipt->ballots[position];
     std::string last = receipt->more ? receipt->keys.back() : std::string();
-    std::vector<std::pair<std::string, std::string>> gifts;
+    std::vector<std::pair<std::string, std::string>> missing_records;
     for (auto& each : self->buckets) {
       auto& records = each->store.records();
       for (auto entry = records.upper_bound(after); entry != records.end(); ++entry) {
@@ -68,21 +68,22 @@
         auto accepted = plain ? wire::ballot{} : cell::unpack(entry->second).accepted;
         // What was only promised here is nothing to hand over.
         if (!plain && accepted.counter == 0) continue;
-        if (found == theirs.end() || found->second < accepted) gifts.push_back(*entry);
+        if (found == theirs.end() || found->second < accepted) missing_records.push_back(*entry);
       }
     }
-    missing += static_cast<std::int64_t>(gifts.size());
+    missing += static_cast<std::int64_t>(missing_records.size());
     runtime::mailbox<bool> box(self->port.runtime());
-    auto give_one = [](wire::port port, voter_place fellow, std::int64_t number, std::string record,
+    auto give_one = [](wire::port port, voter_place peer, std::int64_t number, std::string record,
                        std::string bytes, runtime::mailbox<bool> box) -> task<> {
-      bool taken = co_await give(port, fellow, number, std::move(record), std::move(bytes));
+      bool taken = co_await give(port, peer, number, std::move(record), std::move(bytes));
       box.push(taken);
     };
     std::size_t begun = 0;
-    for (std::size_t ended = 0; ended < gifts.size(); ++ended) {
-      for (; begun < gifts.size() && begun < ended + gifts_at_once; ++begun)
-        self->port.runtime().spawn(give_one(self->port, fellow, self->current.number, gifts[begun].first,
-                                            std::move(gifts[begun].second), box));
+    for (std::size_t ended = 0; ended < missing_records.size(); ++ended) {
+      for (; begun < missing_records.size() && begun < ended + handovers_at_once; ++begun)
+        self->port.runtime().spawn(give_one(self->port, peer, self->current.number,
+                                            missing_records[begun].first,
+                                            std::move(missing_records[begun].second), box));
       auto taken = co_await box.pop(-1);
       if (taken && *taken) self->port.journal().count("herontally_repair_handed_over_total");
     }
@@ -93,10 +94,10 @@
 }
 
 // Sums first: where two stores agree, nothing else is sent, however much they hold.
-task<> voter::state::compare_with(voter_place fellow) {
+task<> voter::state::compare_with(voter_place peer) {
   auto self = shared_from_this();
-  wire::sums_ask question{fellow.id};
-  auto result = co_await self->port.ask(fellow.address, std::move(question), repair_timeout);
+  wire::sums_ask question{peer.id};
+  auto result = co_await self->port.ask(peer.address, std::move(question), repair_timeout);
   auto* receipt = std::get_if<wire::sums_receipt>(&result);
   std::vector<std::int64_t> differing;
   bool summed = receipt && receipt->verdict == "yes" && receipt->sums.size() == disk::ranges;
@@ -107,16 +108,16 @@
       if (ours[range] != receipt->sums[range]) differing.push_back(static_cast<std::int64_t>(range));
   }
   auto* why = std::get_if<wire::error>(&result);
-  // A fellow of the version before has no sums: then all is walked.
+  // A peer of the version before has no sums: then all is walked.
   if (why && *why == wire::error::refused) differing.push_back(-1);
   std::int64_t missing = 0;
   for (auto range : differing) {
-    auto missed = co_await self->compare_range(fellow, range);
+    auto missed = co_await self->compare_range(peer, range);
     if (missed < 0) co_return;
     missing += missed;
   }
   self->port.journal().count("herontally_repair_ranges_walked_total", static_cast<double>(differing.size()));
-  self->port.journal().gauge("herontally_repair_backlog{fellow=\"" + fellow.node + "\"}",
+  self->port.journal().gauge("herontally_repair_backlog{peer=\"" + peer.node + "\"}",
                              static_cast<double>(missing));
 }
 
@@ -124,7 +125,7 @@
   auto self = state_;
   auto runtime = self->port.runtime();
   while (true) {
-    // Drawn apart, so that fellows don't all compare at once.
+    // Drawn apart, so that peers don't all compare at once.
     co_await runtime.sleep(1500 * millisecond + static_cast<microseconds>(runtime.draw(1000 * millisecond)));
     if (self->current.voters.empty() || self->wiping) continue;
     for (auto& place : self->current.all())
@@ -134,7 +135,7 @@
 
 wire::sums_receipt voter::state::sums(const wire::sums_ask& question) const {
   wire::sums_receipt receipt;
-  receipt.verdict = question.voter == id ? "" : "stranger";
+  receipt.verdict = question.voter == id ? "" : "unknown voter";
   if (!receipt.verdict.empty()) return receipt;
   receipt.verdict = "yes";
   receipt.sums.assign(disk::ranges, 0);
--- a/src/register/voter.cc
+++ b/src/register/voter.cc
@@ -39,7 +39,7 @@
   state_->port.runtime().on_stop([weak = std::weak_ptr<state>(state_)] {
     auto here = weak.lock();
     if (!here) return;
-    for (auto& each : here->buckets) each->waitlist = runtime::mailbox<command>(here->port.runtime());
+    for (auto& each : here->buckets) each->queue = runtime::mailbox<command>(here->port.runtime());
   });
 }
 
@@ -84,7 +84,7 @@
       bool done = co_await self->begin_bucket(which, self->id);
       finished.set(done);
     };
-    which->waitlist.push(std::move(work));
+    which->queue.push(std::move(work));
     bool done = co_await finished.wait();
     all = all && done;
   }
--- a/src/register/voter.h
+++ b/src/register/voter.h
@@ -33,15 +33,15 @@
   // `promised` is the ballot that was promised last: a round under it may be under way.
   using key_test = std::function<bool(const wire::ballot& promised, const std::optional<std::string>& value)>;
   runtime::task<int> forget_keys(std::vector<std::string> keys, key_test sure);
-  // Visits up to `limit` records of one bucket with this prefix after `after`, in order; returns the last one
-  // visited, empty once there are no more.
+  // Requests up to `limit` records of one bucket with this prefix after `after`, in order; returns the last
+  // one requested, empty once there are no more.
   int bucket_count() const;
-  std::string visit_records(
+  std::string for_each_record(
       int bucket, const std::string& prefix, const std::string& after, int limit,
-      const std::function<void(const std::string& record, const std::string& bytes)>& visit) const;
-  // A cell's parts, as `visit_records` meets them under "k/".
+      const std::function<void(const std::string& record, const std::string& bytes)>& handle_record) const;
+  // A cell's parts, as `for_each_record` meets them under "k/".
   static std::pair<wire::ballot, std::optional<std::string>> parts_of(const std::string& cell_bytes);
-  // Compares itself with its fellows and hands over what they miss; runs until the process stops.
+  // Compares itself with its peers and hands over what they miss; runs until the process stops.
   runtime::task<> repair_forever();
   std::optional<std::string> accepted_value(const std::string& key) const;
   std::optional<std::string> content(const std::string& digest) const;
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -6,14 +6,14 @@
 
 using runtime::task;
 
-static std::string stranger_check(const std::string& own, const std::string& asked) {
-  return own == asked ? "" : "stranger";
+static std::string identity_check(const std::string& own, const std::string& asked) {
+  return own == asked ? "" : "unknown voter";
 }
 
 task<wire::voter_receipt> voter::state::vote(wire::voter_ask question) {
   auto self = shared_from_this();
   wire::voter_receipt receipt;
-  receipt.verdict = stranger_check(self->id, question.voter);
+  receipt.verdict = identity_check(self->id, question.voter);
   // Only the view that this voter has installed counts: whoever holds another one is told which.
   if (receipt.verdict.empty() && question.view != self->current.number) receipt.verdict = "view";
   if (!self->current.voters.empty()) receipt.view = view_text(self->current);
@@ -69,14 +69,14 @@
       done.set(receipt);
     };
   };
-  holder.waitlist.push(std::move(work));
+  holder.queue.push(std::move(work));
   co_return co_await done.wait();
 }
 
 task<wire::content_put_receipt> voter::state::put(wire::content_put question) {
   auto self = shared_from_this();
   wire::content_put_receipt receipt;
-  receipt.verdict = stranger_check(self->id, question.voter);
+  receipt.verdict = identity_check(self->id, question.voter);
   if (self->wiping) receipt.verdict = "failed";
   auto other_view = [self](std::int64_t asked) { return asked != 0 && asked != self->current.number; };
   if (receipt.verdict.empty() && other_view(question.view)) receipt.verdict = "view";
@@ -96,14 +96,14 @@
       done.set(refused ? "view" : lasting ? "yes" : full ? "full" : "failed");
     };
   };
-  holder.waitlist.push(std::move(work));
+  holder.queue.push(std::move(work));
   receipt.verdict = co_await done.wait();
   co_return receipt;
 }
 
 wire::chain_receipt voter::state::chain(const wire::chain_ask& question) const {
   wire::chain_receipt receipt;
-  receipt.verdict = stranger_check(id, question.voter);
+  receipt.verdict = identity_check(id, question.voter);
   if (receipt.verdict.empty() && question.view != current.number) receipt.verdict = "view";
   if (wiping || !opened) receipt.verdict = "failed";
   if (receipt.verdict.empty()) receipt.verdict = "yes";
@@ -125,7 +125,7 @@
 
 wire::keys_receipt voter::state::keys(const wire::keys_ask& question) const {
   wire::keys_receipt receipt;
-  receipt.verdict = stranger_check(id, question.voter);
+  receipt.verdict = identity_check(id, question.voter);
   if (receipt.verdict.empty() && question.view != 0 && question.view != current.number)
     receipt.verdict = "view";
   if (!receipt.verdict.empty()) return receipt;
@@ -186,7 +186,7 @@
       overlay[changes[0].key] = changes[0].value;
       return [done](bool lasting, bool) { done.set(lasting); };
     };
-    each->waitlist.push(std::move(work));
+    each->queue.push(std::move(work));
     waits.push_back(done);
   }
   bool all = true;
@@ -231,7 +231,7 @@
     auto chosen = view_from(question.view);
     bool usable = chosen.group == self->choice.group && chosen.number > 0;
     // The identity may differ only when the view itself names this voter as left out.
-    if (usable && question.voter != self->id) co_return wire::install_view_receipt{"stranger"};
+    if (usable && question.voter != self->id) co_return wire::install_view_receipt{"unknown voter"};
     bool done = false;
     if (usable) done = co_await self->install(std::move(chosen));
     co_return wire::install_view_receipt{done ? "yes" : "failed"};
--- a/src/register/voter_state.h
+++ b/src/register/voter_state.h
@@ -1,4 +1,4 @@
-// Internal to the register package: a voter's buckets, each with one owner that works through a waitlist.
+// Internal to the register package: a voter's buckets, each with one owner that works through a queue.
 #pragma once
 #include <string.h>
 
@@ -52,10 +52,10 @@
 
 struct bucket {
   disk::store store;
-  runtime::mailbox<command> waitlist;
+  runtime::mailbox<command> queue;
   runtime::microseconds last_commit = 0;
   std::size_t written_in_turn = 0;  // of kept turns, since it became their bucket
-  bucket(disk::store from, runtime::handle runtime) : store(std::move(from)), waitlist(runtime) {}
+  bucket(disk::store from, runtime::handle runtime) : store(std::move(from)), queue(runtime) {}
   std::optional<std::string> read(const std::map<std::string, std::optional<std::string>>& overlay,
                                   const std::string& key) const {
     auto staged = overlay.find(key);
@@ -106,8 +106,8 @@
                                  std::shared_ptr<std::set<std::string>> refused);
   runtime::slot<bool> take_copy(const std::string& record, std::string bytes,
                                 std::shared_ptr<std::set<std::string>> refused);
-  runtime::task<> compare_with(voter_place fellow);
-  runtime::task<std::int64_t> compare_range(voter_place fellow, std::int64_t range);
+  runtime::task<> compare_with(voter_place peer);
+  runtime::task<std::int64_t> compare_range(voter_place peer, std::int64_t range);
 };
 
 }  // namespace herontally::reg
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -14,7 +14,7 @@
 using microseconds = std::int64_t;
 constexpr microseconds millisecond = 1000;
 constexpr microseconds second = 1000 * millisecond;
-// A visit whose channel isn't made within this time is given up: it must not reach a back end long after it
+// A request whose channel isn't made within this time is given up: it must not reach a back end long after it
 // was decided on.
 constexpr microseconds connect_patience = second;
 
@@ -25,7 +25,7 @@
 // The handler gets one message and a function that sends the answer back.
 using message_handler = std::function<void(std::string, std::function<void(std::string)>)>;
 
-struct http_visit {
+struct inbound_request {
   std::string method, path, query, body, peer;
   std::string target;  // path and query as they came, not decoded
   std::map<std::string, std::string>
@@ -50,7 +50,7 @@
   // Called once when the client's connection ends before the answer does.
   std::function<void(std::function<void()>)> on_gone;
 };
-using http_handler = std::function<void(http_visit, std::shared_ptr<http_writer>)>;
+using http_handler = std::function<void(inbound_request, std::shared_ptr<http_writer>)>;
 
 struct http_head {
   int status = 0;
--- a/src/runtime/real_http_server.cc
+++ b/src/runtime/real_http_server.cc
@@ -53,27 +53,27 @@
   }
 }
 
-void on_visit(evhttp_request* request, void* raw) {
+void on_request(evhttp_request* request, void* raw) {
   auto* server = static_cast<bound_server*>(raw);
-  http_visit visit;
-  visit.method = method_of(request);
-  visit.target = evhttp_request_get_uri(request);
+  inbound_request incoming;
+  incoming.method = method_of(request);
+  incoming.target = evhttp_request_get_uri(request);
   auto* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
   const char* query = uri ? evhttp_uri_get_query(uri) : nullptr;
-  visit.path = path && *path ? path : "/";
-  visit.query = query ? query : "";
-  take_headers(request, visit.headers);
+  incoming.path = path && *path ? path : "/";
+  incoming.query = query ? query : "";
+  take_headers(request, incoming.headers);
   evbuffer* body = evhttp_request_get_input_buffer(request);
-  visit.body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, visit.body.data(), visit.body.size());
+  incoming.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, incoming.body.data(), incoming.body.size());
   char* peer = nullptr;
   ev_uint16_t port = 0;
   evhttp_connection_get_peer(evhttp_request_get_connection(request), &peer, &port);
-  if (peer) visit.peer = std::string(peer) + ":" + std::to_string(port);
+  if (peer) incoming.peer = std::string(peer) + ":" + std::to_string(port);
   // A copy: the handler may stop this very server.
   auto handler = server->handler;
-  handler(std::move(visit), make_http_writer(server->part->shared_from_this(), request));
+  handler(std::move(incoming), make_http_writer(server->part->shared_from_this(), request));
 }
 
 std::unique_ptr<bound_server> bind_server(http_server_part* part, const std::string& address,
@@ -94,7 +94,7 @@
   evhttp_set_max_headers_size(bound->server, 32768);
   evhttp_set_allowed_methods(bound->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                                 EVHTTP_REQ_PATCH | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
-  evhttp_set_gencb(bound->server, on_visit, bound.get());
+  evhttp_set_gencb(bound->server, on_request, bound.get());
   bound->listener = evhttp_bind_listener(bound->server, listener);
   return bound;
 }
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -72,7 +72,7 @@
   std::shared_ptr<shared> state_;
 };
 
-// A waitlist of values with one taker.
+// A queue of values with one taker.
 template <class T>
 class mailbox {
  public:
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -98,8 +98,8 @@
 std::variant<settings, fault> from_json(const json& document, const std::string& role) {
   if (!document.is_object()) return fault{"settings", "must be a JSON object"};
   static const std::set<std::string> known{
-      "name",     "zone",      "inner",     "http",   "seeds",    "data",           "agent",
-      "platform", "log_level", "operators", "visits", "waitlist", "disk_megabytes", "notice_milliseconds"};
+      "name",     "zone",      "inner",     "http",     "seeds", "data",           "agent",
+      "platform", "log_level", "operators", "requests", "queue", "disk_megabytes", "notice_milliseconds"};
   for (auto& [field, value] : document.items())
     if (!known.count(field)) return fault{field, "is not a setting"};
   reader from{document, std::nullopt};
@@ -124,8 +124,8 @@
   if (!level.empty()) out.log_level = level;
   out.disk_megabytes = from.number("disk_megabytes", out.disk_megabytes, 1, 1 << 20);
   out.notice_milliseconds = from.number("notice_milliseconds", out.notice_milliseconds, 100, 600000);
-  out.waitlist = from.number("waitlist", out.waitlist, 0, 100000);
-  out.visits = from.number("visits", out.visits, 1, 100000);
+  out.queue = from.number("queue", out.queue, 0, 100000);
+  out.requests = from.number("requests", out.requests, 1, 100000);
   if (from.found) return *from.found;
   return out;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -23,7 +23,7 @@
   std::vector<operator_token> operators;
   std::int64_t disk_megabytes = 256;
   std::int64_t notice_milliseconds = 3000;
-  std::int64_t waitlist = 64, visits = 512;
+  std::int64_t queue = 64, requests = 512;
   // Where an adapter serves the product on a platform of the users'; empty without one.
   std::string region;
   std::string ingress;    // hproxy: clients' requests by the routing table
--- a/src/simcaller/load.cc
+++ b/src/simcaller/load.cc
@@ -91,7 +91,7 @@
       prompt += "q" + std::to_string(here.runtime.draw(10000)) + " ";
     std::string turn = "t" + std::to_string(number);
     bool complete = false;
-    // A visitor comes back when it is told to, a few times.
+    // A client comes back when it is told to, a few times.
     for (int attempt = 0; attempt < 4 && !complete; ++attempt) {
       if (here.eyes.begin) {
         seen_turn asked;
@@ -152,10 +152,10 @@
     }
     double unit = static_cast<double>(runtime.draw(1u << 30)) / (1u << 30);
     // Open loop: the next one comes whether or not the last was answered.
-    auto gap = static_cast<microseconds>(-std::log(1 - unit) / choice.visits_per_second * second);
+    auto gap = static_cast<microseconds>(-std::log(1 - unit) / choice.requests_per_second * second);
     co_await runtime.sleep(std::min<microseconds>(gap, second));
   }
-  // Until the last visitor is through: each comes back up to three times, when it is told to.
+  // Until the last client is through: each comes back up to three times, when it is told to.
   auto patience = runtime.now() + static_cast<microseconds>((choice.patience_seconds * 4 + 130) * second);
   while (here.counts->under_way > 0 && runtime.now() < patience) co_await runtime.sleep(50 * millisecond);
   auto& counts = *here.counts;
--- a/src/simcaller/load.h
+++ b/src/simcaller/load.h
@@ -10,28 +10,28 @@
 struct options {
   std::vector<std::string> doors;   // HTTP addresses of proxies
   std::string shape = "swanreach";  // or "zastavica"
-  double visits_per_second = 20, seconds = 10;
+  double requests_per_second = 20, seconds = 10;
   double crowd_at_second = -1;  // all at once
   std::int64_t crowd = 0;
   double patience_seconds = 40;
 };
 
-// What one visitor saw of one visit, for those who check.
+// What one client saw of one request, for those who check.
 struct seen_turn {
   std::string partner, program, turn, prompt, text, end, door;
   std::int64_t status = 0, pieces = 0, tokens = 0;
-  std::string ran, odd, visit;  // odd: what was wrong with the stream itself
+  std::string ran, odd, request_id;  // odd: what was wrong with the stream itself
   double first_piece_seconds = -1, seconds = 0;
   std::int64_t come_back_seconds = 1;
   bool stored = false;
 };
 struct seen_call {
-  std::string partner, route, key, ran, code, receipt, visit;
+  std::string partner, route, key, ran, code, receipt, request_id;
   std::int64_t status = 0;  // 0: no answer
   double seconds = 0;
 };
 struct watcher {
-  std::function<void(const seen_turn&)> begin;  // before the visit is sent; only what is asked is filled in
+  std::function<void(const seen_turn&)> begin;  // before the request is sent; only what is asked is filled in
   std::function<void(const seen_turn&)> turn;
   std::function<void(const seen_call&)> call;
 };
--- a/src/simcaller/main.cc
+++ b/src/simcaller/main.cc
@@ -7,7 +7,7 @@
 
 ABSL_FLAG(std::string, doors, "", "HTTP addresses of proxies, with commas between");
 ABSL_FLAG(std::string, shape, "swanreach", "swanreach or zastavica");
-ABSL_FLAG(double, visits_per_second, 20, "programs begun each second");
+ABSL_FLAG(double, requests_per_second, 20, "programs begun each second");
 ABSL_FLAG(double, seconds, 10, "how long new programs are begun");
 ABSL_FLAG(double, crowd_at_second, -1, "when a crowd comes all at once; -1: never");
 ABSL_FLAG(std::int64_t, crowd, 100, "how many then");
@@ -19,7 +19,7 @@
       count, words,
       "simcaller: offers a partner's traffic to proxies and reports what came back\n\n"
       "Usage: simcaller --doors A,B,... [--shape swanreach|zastavica]\n"
-      "       [--visits_per_second N] [--seconds N] [--crowd_at_second N] [--crowd N]\n\n"
+      "       [--requests_per_second N] [--seconds N] [--crowd_at_second N] [--crowd N]\n\n"
       "The report is JSON. Exit code 1 when a stream was odd or nothing was complete.\n\n"
       "Example:\n  simcaller --doors 127.0.0.1:7302,127.0.0.1:7304 --seconds 20\n");
   if (!rest.empty()) settings::end_with("simcaller", {rest[0], "is not expected"});
@@ -36,10 +36,10 @@
   choice.shape = absl::GetFlag(FLAGS_shape);
   if (choice.shape != "swanreach" && choice.shape != "zastavica")
     settings::end_with("simcaller", {"--shape", "must be swanreach or zastavica"});
-  choice.visits_per_second = absl::GetFlag(FLAGS_visits_per_second);
+  choice.requests_per_second = absl::GetFlag(FLAGS_requests_per_second);
   choice.seconds = absl::GetFlag(FLAGS_seconds);
-  if (choice.visits_per_second <= 0 || choice.visits_per_second > 10000)
-    settings::end_with("simcaller", {"--visits_per_second", "must be above 0 and at most 10000"});
+  if (choice.requests_per_second <= 0 || choice.requests_per_second > 10000)
+    settings::end_with("simcaller", {"--requests_per_second", "must be above 0 and at most 10000"});
   if (choice.seconds <= 0 || choice.seconds > 86400)
     settings::end_with("simcaller", {"--seconds", "must be above 0"});
   choice.crowd_at_second = absl::GetFlag(FLAGS_crowd_at_second);
--- a/src/simcaller/visits.cc
+++ b/src/simcaller/requests.cc
@@ -1,4 +1,4 @@
-// One visit, with every oddity that its visitor can see.
+// One request, with every oddity that its client can see.
 #include "simcaller/load.h"
 
 namespace herontally::simcaller {
@@ -72,7 +72,7 @@
       if (seen.status != 200) {
         auto body = json::parse(buffer, nullptr, false);
         seen.ran = body.is_object() ? body.value("ran", "") : "";
-        seen.visit = body.is_object() ? body.value("visit", "") : "";
+        seen.request_id = body.is_object() ? body.value("request_id", "") : "";
         if (body.is_object()) seen.come_back_seconds = body.value("retry_after_seconds", std::int64_t{1});
         bool come_back = body.is_object() && (seen.status != 503 && seen.status != 429);
         if (!come_back && body.is_object() && !body.contains("retry_after_seconds"))
@@ -115,7 +115,7 @@
     if (document.is_object()) {
       seen.ran = document.value("ran", "");
       seen.code = document.value("code", "");
-      seen.visit = document.value("visit", "");
+      seen.request_id = document.value("request_id", "");
     }
   }
   seen.seconds = static_cast<double>(runtime.now() - begun) / second;
--- a/src/simengine/model.cc
+++ b/src/simengine/model.cc
@@ -108,7 +108,7 @@
   out->finish();
 }
 
-task<> node::state::complete(runtime::http_visit request, json body, gateway::writer out) {
+task<> node::state::complete(runtime::inbound_request request, json body, gateway::writer out) {
   auto self = shared_from_this();
   auto arrived = self->runtime.now();
   if (self->draining) {
@@ -127,8 +127,8 @@
   identity.shared_tokens = cache.value("shared_tokens", std::size_t{0});
   identity.program = cache.value("program", "");
   auto hashes = prefix::block_hashes(identity, prompt);
-  std::string program = cache.value("program", ""), visit = body.value("request_id", "");
-  run seen{"turn", program, visit, "", prompt, {}, {}, {}, sent_of(request)};
+  std::string program = cache.value("program", ""), incoming = body.value("request_id", "");
+  run seen{"turn", program, incoming, "", prompt, {}, {}, {}, sent_of(request)};
   if (self->watcher) self->watcher(seen);
   co_await self->take_place();
   // However this turn ends, its place is given back.
@@ -148,7 +148,7 @@
   if (self->watcher) {
     auto edge = hashes.begin() + static_cast<std::ptrdiff_t>(held);
     self->watcher(
-        {"hit", program, visit, "", prompt, {hashes.begin(), edge}, {edge, hashes.end()}, {}, seen.sent});
+        {"hit", program, incoming, "", prompt, {hashes.begin(), edge}, {edge, hashes.end()}, {}, seen.sent});
   }
   auto computed =
       static_cast<std::int64_t>(prompt.size()) - static_cast<std::int64_t>(held) * self->choice.block_tokens;
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -47,9 +47,10 @@
 
 task<std::optional<std::string>> node::start() {
   std::weak_ptr<state> weak = state_;
-  bool served =
-      state_->runtime.http_serve(state_->choice.http, [weak](runtime::http_visit visit, gateway::writer out) {
-        if (auto here = weak.lock()) here->runtime.spawn(here->visit(std::move(visit), std::move(out)));
+  bool served = state_->runtime.http_serve(
+      state_->choice.http, [weak](runtime::inbound_request incoming, gateway::writer out) {
+        if (auto here = weak.lock())
+          here->runtime.spawn(here->serve_request(std::move(incoming), std::move(out)));
       });
   if (!served) co_return "http can't be listened on: " + state_->choice.http;
   co_return std::nullopt;
@@ -82,15 +83,15 @@
   return count;
 }
 
-microseconds sent_of(const runtime::http_visit& visit) {
-  auto found = visit.headers.find("x-sim-sent");
-  return found == visit.headers.end() ? 0 : atoll(found->second.c_str());
+microseconds sent_of(const runtime::inbound_request& incoming) {
+  auto found = incoming.headers.find("x-sim-sent");
+  return found == incoming.headers.end() ? 0 : atoll(found->second.c_str());
 }
 
-std::shared_ptr<void> node::state::take_off(const std::string& kind, const runtime::http_visit& visit,
+std::shared_ptr<void> node::state::take_off(const std::string& kind, const runtime::inbound_request& incoming,
                                             const gateway::writer& out) {
   auto number = next_flight++;
-  under_way[kind][number] = {{visit.peer, sent_of(visit)}, out};
+  under_way[kind][number] = {{incoming.peer, sent_of(incoming)}, out};
   return {nullptr, [weak = weak_from_this(), kind, number](void*) {
             if (auto here = weak.lock()) here->under_way[kind].erase(number);
           }};
@@ -106,12 +107,12 @@
   return list;
 }
 
-void node::state::tell(const std::string& what, const runtime::http_visit& visit, const std::string& key,
-                       const std::string& kind) {
+void node::state::tell(const std::string& what, const runtime::inbound_request& incoming,
+                       const std::string& key, const std::string& kind) {
   if (!watcher) return;
-  run seen{what, key, "", visit.path, {}, {}, {}, flights(kind), sent_of(visit)};
-  auto id = visit.headers.find("x-request-id");
-  if (id != visit.headers.end()) seen.visit = id->second;
+  run seen{what, key, "", incoming.path, {}, {}, {}, flights(kind), sent_of(incoming)};
+  auto id = incoming.headers.find("x-request-id");
+  if (id != incoming.headers.end()) seen.request_id = id->second;
   watcher(seen);
 }
 
@@ -148,12 +149,12 @@
 
 // An application: does the work for every request that reaches it, whatever its key; that is what makes
 // running a call twice visible.
-task<> node::state::call(runtime::http_visit visit, gateway::writer out) {
+task<> node::state::call(runtime::inbound_request incoming, gateway::writer out) {
   auto self = shared_from_this();
-  std::string key = visit.headers.count("idempotency-key") ? visit.headers["idempotency-key"] : "";
-  auto flown = self->take_off("call", visit, out);
-  self->tell(visit.method == "GET" ? "arrive-ask" : "arrive-call", visit, key, "call");
-  if (visit.method == "GET") {
+  std::string key = incoming.headers.count("idempotency-key") ? incoming.headers["idempotency-key"] : "";
+  auto flown = self->take_off("call", incoming, out);
+  self->tell(incoming.method == "GET" ? "arrive-ask" : "arrive-call", incoming, key, "call");
+  if (incoming.method == "GET") {
     auto found = self->calls.find(key);
     if (found == self->calls.end())
       gateway::reply_json(out, 404, {{"known", false}});
@@ -171,13 +172,13 @@
   co_await self->runtime.sleep(jitter + static_cast<microseconds>(self->choice.call_milliseconds * 500));
   auto& entry = self->calls[key];
   entry.first += 1;
-  entry.second = {{"work", visit.path},
+  entry.second = {{"work", incoming.path},
                   {"key", key},
                   {"by", self->choice.name},
                   {"times", entry.first},
-                  {"code", ledger::digest_of(key + visit.body).substr(0, 16)}};
+                  {"code", ledger::digest_of(key + incoming.body).substr(0, 16)}};
   self->journal.count("herontally_engine_calls_total");
-  self->tell("call", visit, key, "call");
+  self->tell("call", incoming, key, "call");
   self->leave_place();
   // The work is done; only its answer vanishes.
   if (self->lose_answers) {
@@ -187,34 +188,34 @@
   gateway::reply_json(out, 200, entry.second);
 }
 
-task<> node::state::visit(runtime::http_visit visit, gateway::writer out) {
+task<> node::state::serve_request(runtime::inbound_request incoming, gateway::writer out) {
   auto self = shared_from_this();
-  if (visit.path == "/metrics") {
+  if (incoming.path == "/metrics") {
     gateway::reply_text(out, "text/plain", self->metrics());
     co_return;
   }
-  if (visit.path == "/health" || visit.path == "/readyz") {
+  if (incoming.path == "/health" || incoming.path == "/readyz") {
     gateway::reply_json(out, self->draining ? 503 : 200, {{"draining", self->draining}});
     co_return;
   }
-  if (visit.path == "/sim/behave" && visit.method == "POST") {
-    self->behave(visit.body);
-    gateway::reply_json(out, 200, {{"behaves", visit.body}});
+  if (incoming.path == "/sim/behave" && incoming.method == "POST") {
+    self->behave(incoming.body);
+    gateway::reply_json(out, 200, {{"behaves", incoming.body}});
     co_return;
   }
   if (self->choice.kind != "model") {
-    co_await self->call(std::move(visit), std::move(out));
+    co_await self->call(std::move(incoming), std::move(out));
     co_return;
   }
-  auto body = json::parse(visit.body, nullptr, false);
-  bool post = visit.method == "POST" && body.is_object();
-  if (post && visit.path == "/v1/completions") {
-    auto flown = self->take_off("turn", visit, out);
-    self->tell("arrive-turn", visit, "", "turn");
-    co_await self->complete(std::move(visit), std::move(body), std::move(out));
-  } else if (post && visit.path == "/v1/kv/blocks") {
-    auto flown = self->take_off("lend", visit, out);
-    self->tell("arrive-pull", visit, "", "lend");
+  auto body = json::parse(incoming.body, nullptr, false);
+  bool post = incoming.method == "POST" && body.is_object();
+  if (post && incoming.path == "/v1/completions") {
+    auto flown = self->take_off("turn", incoming, out);
+    self->tell("arrive-turn", incoming, "", "turn");
+    co_await self->complete(std::move(incoming), std::move(body), std::move(out));
+  } else if (post && incoming.path == "/v1/kv/blocks") {
+    auto flown = self->take_off("lend", incoming, out);
+    self->tell("arrive-pull", incoming, "", "lend");
     co_await self->lend(std::move(body), std::move(out));
   } else
     gateway::reply_json(out, 404, {{"error", "no such page"}});
--- a/src/simengine/node.h
+++ b/src/simengine/node.h
@@ -20,10 +20,10 @@
   runtime::microseconds sent = 0;
 };
 // What reached an engine and what it did, for those who check. A turn's key is its program.
-//   "arrive-turn", "arrive-call", "arrive-ask", "arrive-pull": a visit has come, whatever is made of it
+//   "arrive-turn", "arrive-call", "arrive-ask", "arrive-pull": a request has come, whatever is made of it
 //   "turn", "call": it is run; "hit": it was served from these blocks; "borrow": a pull begins here
 struct run {
-  std::string what, key, visit, path;
+  std::string what, key, request_id, path;
   std::vector<std::int64_t> prompt;
   std::vector<std::string> hashes;    // of a hit: the leading blocks that were not computed
   std::vector<std::string> computed;  // and those that were
--- a/src/simengine/node_state.h
+++ b/src/simengine/node_state.h
@@ -49,19 +49,19 @@
   task<> take_place();
   void leave_place();
   task<pulled> pull(json transfer, std::vector<std::string> hashes, microseconds arrived);
-  task<> complete(runtime::http_visit visit, json body, gateway::writer out);
+  task<> complete(runtime::inbound_request incoming, json body, gateway::writer out);
   task<> lend(json body, gateway::writer out);
   // Counts this piece of work in until the result is let go.
-  std::shared_ptr<void> take_off(const std::string& kind, const runtime::http_visit& visit,
+  std::shared_ptr<void> take_off(const std::string& kind, const runtime::inbound_request& incoming,
                                  const gateway::writer& out);
   std::vector<flight> flights(const std::string& kind) const;
-  void tell(const std::string& what, const runtime::http_visit& visit, const std::string& key,
+  void tell(const std::string& what, const runtime::inbound_request& incoming, const std::string& key,
             const std::string& kind);
-  task<> call(runtime::http_visit visit, gateway::writer out);
-  task<> visit(runtime::http_visit visit, gateway::writer out);
+  task<> call(runtime::inbound_request incoming, gateway::writer out);
+  task<> serve_request(runtime::inbound_request incoming, gateway::writer out);
   std::string metrics();
 };
 
-microseconds sent_of(const runtime::http_visit& visit);
+microseconds sent_of(const runtime::inbound_request& incoming);
 
 }  // namespace herontally::simengine
--- a/src/simplatform/node.cc
+++ b/src/simplatform/node.cc
@@ -46,22 +46,22 @@
     }
   }
 
-  void visit(const runtime::http_visit& visit, const gateway::writer& out) {
+  void serve_request(const runtime::inbound_request& incoming, const gateway::writer& out) {
     if (silent) return out->cut();
-    if (gateway::common_pages(visit, out, journal, true)) return;
-    if (visit.path == "/v1/engines" && visit.method == "GET")
+    if (gateway::common_pages(incoming, out, journal, true)) return;
+    if (incoming.path == "/v1/engines" && incoming.method == "GET")
       return gateway::reply_json(out, 200, {{"engines", shown}});
-    if (visit.path == "/v1/nodes" && visit.method == "GET")
+    if (incoming.path == "/v1/nodes" && incoming.method == "GET")
       return gateway::reply_json(out, 200, {{"ready", ready}});
-    if (visit.path == "/v1/engines" && visit.method == "PUT") {
-      auto body = json::parse(visit.body, nullptr, false);
+    if (incoming.path == "/v1/engines" && incoming.method == "PUT") {
+      auto body = json::parse(incoming.body, nullptr, false);
       if (!body.is_object() || !body.contains("engines") || !body["engines"].is_array())
         return gateway::drop(out, 400, "engines must be a list", "no");
       set(body["engines"]);
       return gateway::reply_json(out, 200, {{"taken", true}});
     }
-    auto parts = gateway::split_path(visit.path);
-    if (parts.size() == 4 && parts[1] == "engines" && visit.method == "POST") {
+    auto parts = gateway::split_path(incoming.path);
+    if (parts.size() == 4 && parts[1] == "engines" && incoming.method == "POST") {
       json engines = json::array();
       for (auto entry : choice.engines) {
         if (entry["name"] == parts[2] && parts[3] == "remove") continue;
@@ -87,10 +87,10 @@
 
 task<std::optional<std::string>> node::start() {
   std::weak_ptr<state> weak = state_;
-  bool served =
-      state_->runtime.http_serve(state_->choice.http, [weak](runtime::http_visit visit, gateway::writer out) {
-        if (auto here = weak.lock()) here->visit(visit, out);
-      });
+  bool served = state_->runtime.http_serve(state_->choice.http,
+                                           [weak](runtime::inbound_request incoming, gateway::writer out) {
+                                             if (auto here = weak.lock()) here->serve_request(incoming, out);
+                                           });
   if (!served) co_return "http can't be listened on: " + state_->choice.http;
   state_->runtime.spawn(state::check_nodes(state_));
   co_return std::nullopt;
--- a/tests/bad_input.py
+++ b/tests/bad_input.py
@@ -71,7 +71,7 @@
 assert json.loads(stale[2])["version"] == version, stale[2]
 bad = json.loads(json.dumps(document))
 bad["partners"][site]["programs"][program]["model"] = "none"
-bad["shared"]["limits"]["waitlist_seconds"] = 0.5
+bad["shared"]["limits"]["queue_seconds"] = 0.5
 faulty = ask(core, "PUT", "/v1/desired", bad, match)
 expect("faulty", faulty, 422)
 pointers = [each["pointer"] for each in json.loads(faulty[2])["faults"]]
--- a/tests/control_setting.h
+++ b/tests/control_setting.h
@@ -27,9 +27,9 @@
     world.boot("operator");
     world.machine("platform", "");
     world.boot("platform");
-    world.runtime_of("platform").http_serve("10.0.2.1:80", [this](auto visit, auto out) {
-      asked.push_back(visit.query);
-      bool first = visit.query.empty();
+    world.runtime_of("platform").http_serve("10.0.2.1:80", [this](auto incoming, auto out) {
+      asked.push_back(incoming.query);
+      bool first = incoming.query.empty();
       json body{{"servers", first ? json::array() : page_two}};
       if (first) body["next_token"] = "more";
       out->reply({list_status, {}, body.dump()});
--- a/tests/door_setting.h
+++ b/tests/door_setting.h
@@ -43,7 +43,7 @@
     door = std::make_shared<forward::door>(runtime, journal, platform::make_dialect(),
                                            ledger::programs(writer), choice);
     runtime.http_serve("10.0.1.1:80",
-                       [door = door, runtime](runtime::http_visit request, gateway::writer out) {
+                       [door = door, runtime](runtime::inbound_request request, gateway::writer out) {
                          runtime.spawn(door->serve(std::move(request), std::move(out)));
                        });
     table.version = 1;
@@ -81,7 +81,7 @@
     stores.world.machine(id, "z");
     stores.world.boot(id);
     stores.world.runtime_of(id).http_serve(address,
-                                           [this, id](runtime::http_visit request, gateway::writer out) {
+                                           [this, id](runtime::inbound_request request, gateway::writer out) {
                                              serve(id, std::move(request), std::move(out));
                                            });
     listed.push_back(dialect::listed_engine{id, service, address, "z", "v1", 8, 0, false});
@@ -91,7 +91,7 @@
     door->engines(listed.dump(), {});
     door->nodes(1);
   }
-  void serve(const std::string& id, runtime::http_visit request, gateway::writer out) {
+  void serve(const std::string& id, runtime::inbound_request request, gateway::writer out) {
     seen.push_back({id, request.method, request.target, request.body, request.headers});
     behaviour act;
     if (!next[id].empty()) {
--- a/tests/fleet_failures.py
+++ b/tests/fleet_failures.py
@@ -1,5 +1,5 @@
 """A whole fleet of real processes under traffic and one failure after another; every stream whole, no key run twice,
-every kept conversation there. Waits end on events; the verdict rests on what visitors and engines saw."""
+every kept conversation there. Waits end on events; the verdict rests on what clients and engines saw."""
 import json, os, signal, subprocess, sys, time, urllib.error, urllib.request
 
 root, folder, build, site = sys.argv[1:5]
@@ -120,7 +120,7 @@
 def load(seconds):
     out = folder + "/load.json"
     process = subprocess.Popen([build + "/simcaller", "--doors", ",".join(doors()), "--shape", site, "--seconds",
-                                str(seconds), "--visits_per_second", "6"], stdout=open(out, "w"))
+                                str(seconds), "--requests_per_second", "6"], stdout=open(out, "w"))
 
     def end():
         assert process.wait(timeout=400) == 0
--- a/tests/fleet_smoke.sh
+++ b/tests/fleet_smoke.sh
@@ -17,20 +17,20 @@
 
 fleet up "$site" --edges 3 --log_level WARN
 eval "$(fleet env)"
-"$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 4 --visits_per_second 10 > "$folder/calm.json"
+"$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 4 --requests_per_second 10 > "$folder/calm.json"
 
 python3 "$root/tests/bad_input.py" "$folder" "$build"
 hctl() { "$build/hctl" --core "$CORE" --token "$TOKEN" "$@"; }
 zone=$(fleet status | awk '$1 == "core-2" { print $3 }')
-echo '{"shared": {"limits": {"waitlist_seconds": 4}}}' > "$folder/patch.json"
+echo '{"shared": {"limits": {"queue_seconds": 4}}}' > "$folder/patch.json"
 hctl patch "$folder/patch.json" > "$folder/patched"
-hctl get | grep -q '"waitlist_seconds": 4'
+hctl get | grep -q '"queue_seconds": 4'
 if hctl patch "$folder/patch.json" --expect 1 2> "$folder/stale"; then exit 1; else test $? = 4; fi
 hctl evacuate "$zone" > /dev/null
 hctl get | grep -q "$zone"
 hctl return "$zone" > /dev/null
 
-"$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 12 --visits_per_second 10 > "$folder/storm.json" &
+"$build/simcaller" --doors "$DOORS" --shape "$site" --seconds 12 --requests_per_second 10 > "$folder/storm.json" &
 load=$!
 for node in core-1 store-2 agent-3 door-2; do
   fleet kill "$node"
@@ -48,7 +48,7 @@
 calm = json.load(open(sys.argv[1] + "/calm.json"))
 storm = json.load(open(sys.argv[1] + "/storm.json"))
 assert calm["oddities"] == {} and storm["oddities"] == {}, (calm["oddities"], storm["oddities"])
-# A starved machine may make a door stop for a moment and its visitors come back; most must be served all the same.
+# A starved machine may make a door stop for a moment and its clients come back; most must be served all the same.
 assert calm["turns_complete"] >= 0.8 * calm["turns"] > 0, calm
 assert calm["calls_done"] >= 0.8 * calm["calls"] > 0, calm
 assert storm["turns_complete"] > 0 and storm["calls_done"] > 0, storm
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -8,19 +8,20 @@
 struct served {
   loop here;
   std::string at = loop::free_address();
-  std::vector<rt::http_visit> visits;
+  std::vector<rt::inbound_request> requests;
   std::vector<std::shared_ptr<rt::http_writer>> writers;
   served() {
-    REQUIRE(here.table.http_serve(at, [this](rt::http_visit visit, std::shared_ptr<rt::http_writer> writer) {
-      visits.push_back(std::move(visit));
-      writers.push_back(std::move(writer));
-    }));
+    REQUIRE(here.table.http_serve(
+        at, [this](rt::inbound_request incoming, std::shared_ptr<rt::http_writer> writer) {
+          requests.push_back(std::move(incoming));
+          writers.push_back(std::move(writer));
+        }));
   }
   raw_end& send(const std::string& bytes) {
     auto& end = here.connect_to(at);
     end.send(bytes);
-    auto before = visits.size();
-    REQUIRE(here.until([&] { return visits.size() > before; }));
+    auto before = requests.size();
+    REQUIRE(here.until([&] { return requests.size() > before; }));
     return end;
   }
 };
@@ -29,14 +30,14 @@
 
 }  // namespace
 
-TEST_CASE("a visit carries its raw target and joined headers", "[http_server]") {
+TEST_CASE("a request carries its raw target and joined headers", "[http_server]") {
   served site;
   auto& end = site.send(
       "GET /a%2Fb/../c?x=%20&y HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\nCookie: p=1\r\nCookie: "
       "q=2\r\n\r\n");
-  CHECK(site.visits[0].target == "/a%2Fb/../c?x=%20&y");
-  CHECK(site.visits[0].headers["x-a"] == "1, 2");
-  CHECK(site.visits[0].headers["cookie"] == "p=1; q=2");
+  CHECK(site.requests[0].target == "/a%2Fb/../c?x=%20&y");
+  CHECK(site.requests[0].headers["x-a"] == "1, 2");
+  CHECK(site.requests[0].headers["cookie"] == "p=1; q=2");
   site.writers[0]->reply(rt::http_receipt{504, {}, ""});
   REQUIRE(site.here.until([&] { return has(end, "\r\n\r\n"); }));
   CHECK(has(end, "HTTP/1.1 504 Gateway Timeout\r\n"));
@@ -75,7 +76,7 @@
   CHECK(has(end, "Connection: close\r\n"));
   CHECK(end.received.size() > body.size());
   CHECK(end.received.compare(end.received.size() - body.size(), body.size(), body) == 0);
-  CHECK(site.visits.size() == 1);
+  CHECK(site.requests.size() == 1);
   end.close();
   site.here.settle();
 }
@@ -109,7 +110,7 @@
   site.writers[0]->reply(rt::http_receipt{200, {}, "x"});
   REQUIRE(site.here.until([&] { return has(end, "\r\n\r\nx"); }));
   end.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
-  REQUIRE(site.here.until([&] { return site.visits.size() == 2; }));
+  REQUIRE(site.here.until([&] { return site.requests.size() == 2; }));
   site.writers[1]->on_gone([&] { ++second; });
   end.close();
   REQUIRE(site.here.until([&] { return second == 1; }));
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -14,8 +14,8 @@
   bool owner_gone = false;
   ledger::book mine(writer,
                     [&](const std::string& owner, std::int64_t) { return owner == "a" && owner_gone; });
-  auto open = [&](const std::string& turn, const std::string& visit, const std::string& owner) {
-    ledger::turn_wish wish{"p", "chat", turn, visit, owner, 1, 100, 60, 20 * second};
+  auto open = [&](const std::string& turn, const std::string& request_id, const std::string& owner) {
+    ledger::turn_wish wish{"p", "chat", turn, request_id, owner, 1, 100, 60, 20 * second};
     return std::make_pair(wish, site.run("w", mine.open_turn(wish, site.deadline("w", 3 * second))));
   };
   auto first = open("t0", "v1", "a");
@@ -104,7 +104,7 @@
   for (int call = 0; call < 500 && last == ledger::book::call_end::mine; ++call) {
     ledger::call_receipt first;
     first.state = "started";
-    first.visit = "v" + std::to_string(call);
+    first.request_id = "v" + std::to_string(call);
     std::string key = "r/p/labels/" + std::to_string(call);
     auto result = site.run("w", mine.begin_call(key, first, site.deadline("w", 3 * second)));
     last = result.end;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 placement::engine ready(std::uint32_t number, std::int64_t usage, std::size_t cached = 0,
-                        std::int64_t waitlist = 0) {
+                        std::int64_t queue = 0) {
   placement::engine each;
   each.number = number;
   each.name = "e" + std::to_string(number);
@@ -18,7 +18,7 @@
   each.weights = "v1";
   each.live = true;
   each.reported = usage;
-  each.waitlist = waitlist;
+  each.queue = queue;
   each.cached_blocks = cached;
   return each;
 }
@@ -56,7 +56,7 @@
   REQUIRE_FALSE(placement::place(ask(0), self, random)->source);
 }
 
-TEST_CASE("near-tied holders are drawn with weights inverse to their waitlists") {
+TEST_CASE("near-tied holders are drawn with weights inverse to their queues") {
   std::mt19937_64 random(3);
   auto asked = ask(100);
   asked.near_tie_tokens = 32;
--- a/tests/platform_setting.h
+++ b/tests/platform_setting.h
@@ -53,15 +53,15 @@
   return made;
 }
 
-inline runtime::http_visit call(const std::string& method, const std::string& path,
-                                const std::string& body = "",
-                                const std::map<std::string, std::string>& headers = {}) {
-  runtime::http_visit visit;
-  visit.method = method;
-  visit.path = path;
-  visit.body = body;
-  visit.headers = headers;
-  return visit;
+inline runtime::inbound_request call(const std::string& method, const std::string& path,
+                                     const std::string& body = "",
+                                     const std::map<std::string, std::string>& headers = {}) {
+  runtime::inbound_request incoming;
+  incoming.method = method;
+  incoming.path = path;
+  incoming.body = body;
+  incoming.headers = headers;
+  return incoming;
 }
 
 // Where the first fault lies; "" when there is none.
--- a/tests/platform_site.cc
+++ b/tests/platform_site.cc
@@ -21,8 +21,8 @@
     where_.machine(name, "");
     where_.boot(name);
   }
-  where_.runtime_of("platform").http_serve(platform_address, [this](auto visit, auto out) {
-    serve_list(std::move(visit), std::move(out));
+  where_.runtime_of("platform").http_serve(platform_address, [this](auto incoming, auto out) {
+    serve_list(std::move(incoming), std::move(out));
   });
 }
 
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -85,12 +85,12 @@
   template <class Node, class... More>
   void start(const machine_place& place, const std::string& role, More... more);
   std::string settings_of(const machine_place& place, const std::string& role) const;
-  void serve_list(runtime::http_visit visit, std::shared_ptr<runtime::http_writer> out);
+  void serve_list(runtime::inbound_request incoming, std::shared_ptr<runtime::http_writer> out);
   void show(const std::string& machine, bool listed);
   task<> probe_forever();
-  task<> serve_engine(std::shared_ptr<engine_life> life, runtime::http_visit visit,
+  task<> serve_engine(std::shared_ptr<engine_life> life, runtime::inbound_request incoming,
                       std::shared_ptr<runtime::http_writer> out);
-  task<> work(std::shared_ptr<engine_life> life, runtime::http_visit visit,
+  task<> work(std::shared_ptr<engine_life> life, runtime::inbound_request incoming,
               std::shared_ptr<runtime::http_writer> out);
   task<> stream(std::shared_ptr<engine_life> life, engine_run* run, std::shared_ptr<bool> gone,
                 std::int64_t most, std::shared_ptr<runtime::http_writer> out,
--- a/tests/platform_site_engines.cc
+++ b/tests/platform_site_engines.cc
@@ -21,8 +21,8 @@
   life->cold_until = where_.now() + cold_time;
   where_.machine(life->machine, zone);
   where_.boot(life->machine);
-  where_.runtime_of(life->machine).http_serve(life->address, [this, life](auto visit, auto out) {
-    where_.runtime_of(life->machine).spawn(serve_engine(life, std::move(visit), std::move(out)));
+  where_.runtime_of(life->machine).http_serve(life->address, [this, life](auto incoming, auto out) {
+    where_.runtime_of(life->machine).spawn(serve_engine(life, std::move(incoming), std::move(out)));
   });
   lives_[life->machine] = life;
   show(life->machine, true);
@@ -48,14 +48,14 @@
   });
 }
 
-void site::serve_list(runtime::http_visit visit, std::shared_ptr<runtime::http_writer> out) {
+void site::serve_list(runtime::inbound_request incoming, std::shared_ptr<runtime::http_writer> out) {
   auto now = where_.now();
   while (!listings_.empty() && listings_.front() <= now - second) listings_.pop_front();
   if (static_cast<std::int64_t>(listings_.size()) >= list_rate) return out->reply({429, {}, ""});
   listings_.push_back(now);
   std::size_t from = 0;
-  auto token = visit.query.find("page_token=p-");
-  if (token != std::string::npos) from = std::stoul(visit.query.substr(token + 13));
+  auto token = incoming.query.find("page_token=p-");
+  if (token != std::string::npos) from = std::stoul(incoming.query.substr(token + 13));
   json page{{"servers", json::array()}, {"next_token", nullptr}};
   for (std::size_t number = from; number < shown_.size() && number < from + 8; ++number) {
     auto entry = shown_[number];
@@ -111,27 +111,27 @@
   life->cold_until = where_.now() + cold_time;
 }
 
-static std::string field(const runtime::http_visit& visit, const std::string& name) {
-  auto found = visit.headers.find(name);
-  return found == visit.headers.end() ? "" : found->second;
+static std::string field(const runtime::inbound_request& incoming, const std::string& name) {
+  auto found = incoming.headers.find(name);
+  return found == incoming.headers.end() ? "" : found->second;
 }
 
-task<> site::serve_engine(std::shared_ptr<engine_life> life, runtime::http_visit visit,
+task<> site::serve_engine(std::shared_ptr<engine_life> life, runtime::inbound_request incoming,
                           std::shared_ptr<runtime::http_writer> out) {
   auto now = where_.now();
-  if (visit.path == "/health" || visit.path == "/-/report") {
+  if (incoming.path == "/health" || incoming.path == "/-/report") {
     runtime::http_receipt receipt{life->draining ? 503 : 200, {{"X-Instance", life->id}}, ""};
     if (now < life->cold_until)
       receipt.headers["X-Cold-Ms"] = std::to_string((life->cold_until - now) / millisecond);
-    if (visit.path == "/-/report")
+    if (incoming.path == "/-/report")
       receipt.body = json{{"active", life->running}, {"backlog", life->queue.size()}}.dump();
     out->reply(receipt);
     co_return;
   }
   std::map<std::string, std::string> turned_away{{"X-Not-Executed", "1"},
-                                                 {"X-Attempt-Id", field(visit, "x-attempt-id")}};
-  auto wanted = field(visit, "x-target-instance");
-  int refusal = field(visit, "x-attempt-id").empty()     ? 400
+                                                 {"X-Attempt-Id", field(incoming, "x-attempt-id")}};
+  auto wanted = field(incoming, "x-target-instance");
+  int refusal = field(incoming, "x-attempt-id").empty()  ? 400
                 : !wanted.empty() && wanted != life->id  ? 421
                 : life->running < life->capacity         ? 0
                 : std::ssize(life->queue) >= most_queued ? 503
@@ -141,7 +141,7 @@
     co_return;
   }
   auto runtime = where_.runtime_of(life->machine);
-  auto left = field(visit, "x-time-left-ms");
+  auto left = field(incoming, "x-time-left-ms");
   auto deadline = runtime.now() + std::stoll(left.empty() ? "4000" : left) * millisecond;
   if (life->running >= life->capacity) {
     runtime::slot<bool> bell(runtime);
@@ -157,24 +157,24 @@
     }
   }
   ++life->running;
-  co_await work(life, std::move(visit), out);
+  co_await work(life, std::move(incoming), out);
   --life->running;
   if (!life->queue.empty()) life->queue.front().set(true);
 }
 
-task<> site::work(std::shared_ptr<engine_life> life, runtime::http_visit visit,
+task<> site::work(std::shared_ptr<engine_life> life, runtime::inbound_request incoming,
                   std::shared_ptr<runtime::http_writer> out) {
   auto runtime = where_.runtime_of(life->machine);
   auto now = where_.now();
-  arrival seen{field(visit, "x-attempt-id"),
-               visit.method,
-               visit.target,
-               visit.body,
-               visit.peer.substr(0, visit.peer.rfind(':')),
+  arrival seen{field(incoming, "x-attempt-id"),
+               incoming.method,
+               incoming.target,
+               incoming.body,
+               incoming.peer.substr(0, incoming.peer.rfind(':')),
                life->machine,
                life->service,
                life->zone};
-  seen.sent = std::stoll(field(visit, "x-sim-sent"));
+  seen.sent = std::stoll(field(incoming, "x-sim-sent"));
   seen.cold = now < life->cold_until;
   seen.cold_since = life->cold_since;
   seen.shown_draining = life->shown_draining;
@@ -186,7 +186,7 @@
   std::map<std::string, std::string> headers{{"X-Attempt-Id", seen.attempt}, {"X-Server-Seal", run->seal}};
   if (seen.cold) headers["X-Cold-Ms"] = std::to_string((life->cold_until - now) / millisecond);
   auto trick = mischief > 0 && where_.draw(1000) < static_cast<std::uint64_t>(mischief) ? where_.draw(4) : 9;
-  auto counts = field(visit, "x-token-count");
+  auto counts = field(incoming, "x-token-count");
   auto comma = counts.find(',');
   std::int64_t most = comma == std::string::npos ? 0 : std::stoll(counts.substr(comma + 1));
   co_await runtime.sleep((10 + static_cast<microseconds>(where_.draw(40))) * millisecond *
--- a/tests/site_test.cc
+++ b/tests/site_test.cc
@@ -1,4 +1,4 @@
-// What a visitor sees of a whole simulated site, where the seeds don't look for it.
+// What a client sees of a whole simulated site, where the seeds don't look for it.
 #include "hsim/site.h"
 
 #include <catch2/catch.hpp>
@@ -118,9 +118,9 @@
   }
 }
 
-TEST_CASE("a visitor that doesn't read is cut, with what lies for it bounded") {
+TEST_CASE("a client that doesn't read is cut, with what lies for it bounded") {
   hsim::site_options choice;
-  choice.visitor_buffer_kilobytes = 1;
+  choice.client_buffer_kilobytes = 1;
   choice.token_milliseconds = 20;
   small_site site(choice);
   std::vector<std::shared_ptr<std::optional<simcaller::seen_turn>>> seen;
@@ -132,17 +132,17 @@
   site.world.run_for(50 * millisecond);
   site.world.stall("callers", true);
   site.world.run_for(8 * second);
-  double cut = site.sum("hproxy", "herontally_slow_visitors_cut_total");
+  double cut = site.sum("hproxy", "herontally_slow_clients_cut_total");
   INFO(cut << " cut");
   REQUIRE(cut > 0);
   // Nothing is left standing for them.
-  REQUIRE(site.sum("hproxy", "herontally_visits") <= 20);
+  REQUIRE(site.sum("hproxy", "herontally_requests") <= 20);
   site.world.stall("callers", false);
   REQUIRE(site.turn("exchange:after", "t0").end == "complete");
 }
 
 TEST_CASE("an edge that begins anew while no core lives sends nothing to an engine that has been leaving") {
-  // When the first look at the platform falls, before or after the fellows' list, is the seed's choice.
+  // When the first look at the platform falls, before or after the peers' list, is the seed's choice.
   int fresh_doors = 0;
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
     small_site site({}, seed);
@@ -155,7 +155,7 @@
       site.world.kill(name, hsim::disk_loss::none);
       site.place.boot(name);
     }
-    // The fellows' list is the one of before; the engines that it names stay up for 2.5 s more.
+    // The peers' list is the one of before; the engines that it names stay up for 2.5 s more.
     auto out = std::make_shared<std::optional<simcaller::seen_turn>>();
     bool fresh = false;
     for (int number = 0; number < 120; ++number) {
@@ -166,6 +166,6 @@
     fresh_doors += fresh ? 1 : 0;
     CHECK(site.judge.violations().empty());
   }
-  // Some doors hear of too few fellows within this time to place anything.
+  // Some doors hear of too few peers within this time to place anything.
   REQUIRE(fresh_doors >= 6);
 }
