--- a/tools/fleetlib.py
+++ b/tools/fleetlib.py
@@ -101,10 +101,10 @@
         os.kill(node["pid"], number)
         return True
 
-    def stop(self, nodes, number, patience):
+    def stop(self, nodes, number, timeout):
         for node in nodes:
             self.signal(node, number)
-        until = time.time() + patience
+        until = time.time() + timeout
         while time.time() < until and any(self.alive(node) for node in nodes):
             time.sleep(0.02)
         for node in nodes:
@@ -140,19 +140,19 @@
         return 0, ""
 
 
-def hctl(fleet, *words):
+def hctl(fleet, *arguments):
     cores = ",".join(node["http"] for node in fleet.state["nodes"].values() if node["role"] == "hcore")
-    return subprocess.run([os.path.join(fleet.build, "hctl"), "--core", cores, "--token", TOKEN] + list(words),
+    return subprocess.run([os.path.join(fleet.build, "hctl"), "--core", cores, "--token", TOKEN] + list(arguments),
                           stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
 
 
-def wait_for(what, check, patience):
-    until = time.time() + patience
+def wait_for(what, check, timeout):
+    until = time.time() + timeout
     while time.time() < until:
         if check():
             return
         time.sleep(0.1)
-    sys.exit("fleet: %s did not happen within %d s" % (what, patience))
+    sys.exit("fleet: %s did not happen within %d s" % (what, timeout))
 
 
 def ready(fleet, role):
