Rename bell, word, patience and drop in the simulator, the tools' sources and the runtime

A rename alone, of names in these packages: bell -> notifier, patience -> timeout (connect_timeout, connect_timer), word -> argument, reply or level name, drop -> refusal. Public names: hsim's kind of fault `word` is `reply`; the count `dropped` of hsim is `refused`, `drops` of simcaller's report is `refusals` (its readers in tests/ follow). http_request's connect_timeout takes its default from the constant of the same value. The fleets weren't run.

--- a/src/hctl/commands.cc
+++ b/src/hctl/commands.cc
@@ -176,12 +176,12 @@
 
 }  // namespace
 
-task<int> run(runtime::handle runtime, setting given, std::vector<std::string> words) {
+task<int> run(runtime::handle runtime, setting given, std::vector<std::string> arguments) {
   std::string expected;
-  for (std::size_t position = 0; position + 1 < words.size(); ++position)
-    if (words[position] == "expect") expected = words[position + 1];
-  std::string verb = words[0];
-  std::size_t count = words.size();
+  for (std::size_t position = 0; position + 1 < arguments.size(); ++position)
+    if (arguments[position] == "expect") expected = arguments[position + 1];
+  std::string verb = arguments[0];
+  std::size_t count = arguments.size();
   auto plain = [&](const char* method, std::string path) {
     return ask(runtime, given, method, std::move(path), "", "");
   };
@@ -193,28 +193,28 @@
   } else if (verb == "engines" && count == 1) {
     result = co_await plain("GET", "/v1/engines");
   } else if (verb == "evacuate" && count == 2) {
-    result = co_await plain("PUT", "/v1/zones/" + words[1] + "/evacuation");
+    result = co_await plain("PUT", "/v1/zones/" + arguments[1] + "/evacuation");
   } else if (verb == "return" && count == 2) {
-    result = co_await plain("DELETE", "/v1/zones/" + words[1] + "/evacuation");
+    result = co_await plain("DELETE", "/v1/zones/" + arguments[1] + "/evacuation");
   } else if (verb == "retire" && count == 2) {
-    result = co_await plain("PUT", "/v1/storage/" + words[1] + "/retirement");
+    result = co_await plain("PUT", "/v1/storage/" + arguments[1] + "/retirement");
   } else if (verb == "progress" && count == 2) {
-    result = co_await plain("GET", "/v1/storage/" + words[1] + "/retirement");
+    result = co_await plain("GET", "/v1/storage/" + arguments[1] + "/retirement");
   } else if (verb == "finish" && count == 2) {
-    result = co_await plain("DELETE", "/v1/storage/" + words[1] + "/retirement");
+    result = co_await plain("DELETE", "/v1/storage/" + arguments[1] + "/retirement");
   } else if (verb == "bootstrap" && count == 3) {
-    json body{{"core", address_list(words[1])}, {"store", address_list(words[2])}};
+    json body{{"core", address_list(arguments[1])}, {"store", address_list(arguments[2])}};
     result = co_await ask(runtime, given, "POST", "/v1/bootstrap", body.dump(), "");
   } else if ((verb == "apply" || verb == "patch") && (count == 2 || count == 4)) {
-    co_return co_await change(runtime, given, verb == "apply" ? "PUT" : "PATCH", words[1], expected);
+    co_return co_await change(runtime, given, verb == "apply" ? "PUT" : "PATCH", arguments[1], expected);
   } else if (verb == "diff" && count == 2) {
-    co_return co_await diff(runtime, given, words[1]);
+    co_return co_await diff(runtime, given, arguments[1]);
   } else if (verb == "watch" && count == 1) {
     co_return co_await watch(runtime, given);
   } else if (verb == "ledger" && count == 3) {
-    co_return co_await ledger(runtime, given, words[1], words[2]);
+    co_return co_await ledger(runtime, given, arguments[1], arguments[2]);
   } else {
-    fprintf(stderr, "hctl: COMMAND is not known or has the wrong number of words: %s; see --help\n",
+    fprintf(stderr, "hctl: COMMAND is not known or has the wrong number of arguments: %s; see --help\n",
             verb.c_str());
     co_return usage;
   }
--- a/src/hctl/commands.h
+++ b/src/hctl/commands.h
@@ -17,7 +17,7 @@
 };
 
 std::string help();
-// Carries out one command and prints its result; the words follow the flags.
-runtime::task<int> run(runtime::handle runtime, setting given, std::vector<std::string> words);
+// Carries out one command and prints its result; the arguments follow the flags.
+runtime::task<int> run(runtime::handle runtime, setting given, std::vector<std::string> arguments);
 
 }  // namespace herontally::hctl
--- a/src/hctl/main.cc
+++ b/src/hctl/main.cc
@@ -24,8 +24,8 @@
   return parts;
 }
 
-int main(int count, char** words) {
-  auto rest = settings::parse_flags(count, words, hctl::help());
+int main(int count, char** arguments) {
+  auto rest = settings::parse_flags(count, arguments, hctl::help());
   if (rest.empty()) settings::end_with("hctl", {"COMMAND", "is missing; see --help"});
   hctl::setting given;
   given.cores = split(absl::GetFlag(FLAGS_core), "--core");
--- a/src/hscale/main.cc
+++ b/src/hscale/main.cc
@@ -86,12 +86,12 @@
 
 }  // namespace
 
-int main(int count, char** words) {
+int main(int count, char** arguments) {
   std::string usage =
       "hscale: hollow machines that share one process, for scale runs on loopback (see tools/scale)\n\n"
       "Usage: hscale --file FILE --listen IP:PORT\n\n"
       "Example:\n  hscale --file scale/machines.json --listen 127.0.0.1:7990\n";
-  auto rest = herontally::settings::parse_flags(count, words, usage);
+  auto rest = herontally::settings::parse_flags(count, arguments, usage);
   if (!rest.empty()) herontally::settings::end_with("hscale", {rest[0], "is not expected"});
   FILE* file = fopen(absl::GetFlag(FLAGS_file).c_str(), "rb");
   if (!file) herontally::settings::end_with("hscale", {"--file", "names a file that can't be read"});
--- a/src/hsim/faults.cc
+++ b/src/hsim/faults.cc
@@ -22,7 +22,7 @@
   static const std::vector<std::string> kinds{
       "kill",     "freeze",  "cut",     "split",   "zone",   "store", "core",  "roll",    "race", "configure",
       "evacuate", "engine",  "disk",    "weights", "stale",  "doze",  "total", "retire",  "add",  "platform",
-      "warn",     "rollall", "corrupt", "twice",   "lender", "word",  "await", "upgrade", "pair"};
+      "warn",     "rollall", "corrupt", "twice",   "lender", "reply", "await", "upgrade", "pair"};
   return kinds;
 }
 
@@ -55,13 +55,13 @@
   if (kind == "upgrade") self.upgrade();
   if (kind == "pair") self.replace_and_lose_zone();
   if (kind == "lender") self.strike_lender();
-  if (kind == "word") self.strike_after_word();
+  if (kind == "reply") self.strike_after_reply();
   if (kind == "await") self.freeze_at_await();
 }
 
-void faults::word_given() {
-  if (!state_->after_word) return;
-  auto strike = std::exchange(state_->after_word, nullptr);
+void faults::reply_received() {
+  if (!state_->on_next_reply) return;
+  auto strike = std::exchange(state_->on_next_reply, nullptr);
   strike();
 }
 
@@ -70,7 +70,7 @@
   self.tell("peace");
   self.w().heal_all();
   self.w().net().twice = 0;
-  self.after_word = nullptr;
+  self.on_next_reply = nullptr;
   self.target.upset_platform(false, 400);
   for (auto& name : self.w().names()) {
     auto& machine = self.w().find(name);
--- a/src/hsim/faults.h
+++ b/src/hsim/faults.h
@@ -13,7 +13,7 @@
   // Ends what still goes on: all is healed, woken and booted.
   void end_all();
   // A client or operator was told that something is done.
-  void word_given();
+  void reply_received();
   const std::set<std::string>& gone() const;  // machines that never come back
 
  private:
--- a/src/hsim/faults_aimed.cc
+++ b/src/hsim/faults_aimed.cc
@@ -168,10 +168,10 @@
 }
 
 // Power goes the moment something was acknowledged: at one machine with a disk, or at all of them.
-void faults::state::strike_after_word() {
+void faults::state::strike_after_reply() {
   bool all = w().draw(2);
-  tell(std::string("power goes at the next word given, at ") + (all ? "all disks" : "one disk"));
-  after_word = [self = shared_from_this(), all] {
+  tell(std::string("power goes at the next reply, at ") + (all ? "all disks" : "one disk"));
+  on_next_reply = [self = shared_from_this(), all] {
     std::vector<std::string> names;
     for (auto* role : {"hcore", "hstore"})
       for (auto& name : self->target.of_role(role))
--- a/src/hsim/faults_state.h
+++ b/src/hsim/faults_state.h
@@ -14,8 +14,8 @@
   std::set<std::string> gone;  // machines that were replaced and never come back
   bool versions_apart = false;
   int stores_replaced = 0, cores_replaced = 0, spares = 0;
-  // What to do when a client or an operator next gets its word.
-  std::function<void()> after_word;
+  // What to do when a client or an operator next gets its reply.
+  std::function<void()> on_next_reply;
   state(site& where, oracle& oracle_of, std::vector<std::string>& lines)
       : target(where), judge(oracle_of), story(lines) {}
 
@@ -149,7 +149,7 @@
   void corrupt_disk();
   void send_twice();
   void strike_lender();
-  void strike_after_word();
+  void strike_after_reply();
   void freeze_at_await();
 };
 
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -26,7 +26,7 @@
     "Usage: hsim --seeds A..B [--only KIND,...] [--faults N] [--seconds N] [--requests_per_second N] "
     "[--story]\n\n"
     "Kinds: kill freeze cut split zone store core roll race configure evacuate engine disk weights stale "
-    "doze total retire add platform warn rollall corrupt twice lender word await upgrade pair\n"
+    "doze total retire add platform warn rollall corrupt twice lender reply await upgrade pair\n"
     "With --measure NAME a measurement is made: control controls crowd fork in-force join "
     "register repair replace roll slow-disk spread threshold times\n"
     "A failing seed prints the command that replays it. Exit codes: 0 all well, 1 a rule was broken, 2 bad "
@@ -65,8 +65,8 @@
   return 1;
 }
 
-int main(int count, char** words) {
-  auto rest = settings::parse_flags(count, words, usage_text);
+int main(int count, char** arguments) {
+  auto rest = settings::parse_flags(count, arguments, usage_text);
   if (!rest.empty()) settings::end_with("hsim", {rest[0], "is not expected"});
   std::string seeds = absl::GetFlag(FLAGS_seeds);
   auto dots = seeds.find("..");
--- a/src/hsim/measure.cc
+++ b/src/hsim/measure.cc
@@ -67,7 +67,7 @@
     ++*done;
   };
   int done = 0;
-  // The one copy that there is before the burst; a young site may drop its first clients.
+  // The one copy that there is before the burst; a young site may refuse its first clients.
   for (int attempt = 0; attempt < 10 && result.complete == 0; ++attempt) {
     done = 0;
     place.callers().spawn(branch(&place, &result, 0, &done));
--- a/src/hsim/measure_site.cc
+++ b/src/hsim/measure_site.cc
@@ -35,8 +35,8 @@
   world where;
   oracle judge;
   site place;
-  std::vector<double> first, drop_seconds;
-  std::int64_t complete = 0, cut = 0, drops = 0;
+  std::vector<double> first, refusal_seconds;
+  std::int64_t complete = 0, cut = 0, refusals = 0;
   nlohmann::json report;
   bool ended = false;
 
@@ -62,8 +62,8 @@
       } else if (seen.status == 200) {
         ++cut;
       } else if (seen.status != 0) {
-        ++drops;
-        drop_seconds.push_back(seen.seconds);
+        ++refusals;
+        refusal_seconds.push_back(seen.seconds);
       }
     };
     place.callers().spawn([](rt::handle runtime, herontally::simcaller::options traffic,
@@ -93,7 +93,7 @@
 void measure_spread() {
   printf(
       "| doors | programs/s | turns | per engine least | median | most | per door least | median | most | "
-      "drops |\n"
+      "refusals |\n"
       "|---|---|---|---|---|---|---|---|---|---|\n");
   for (int edges : {6, 60})
     for (double rate : {10.0, 40.0, 80.0}) {
@@ -111,7 +111,7 @@
         doors.push_back(run.place.metric(name, "herontally_placements_total"));
       printf("| %d | %.0f | %lld | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %lld |\n", edges, rate,
              static_cast<long long>(run.complete), at(engines, 0), at(engines, 0.5), at(engines, 1),
-             at(doors, 0), at(doors, 0.5), at(doors, 1), static_cast<long long>(run.drops));
+             at(doors, 0), at(doors, 0.5), at(doors, 1), static_cast<long long>(run.refusals));
     }
 }
 
@@ -147,7 +147,8 @@
 
 void measure_roll() {
   printf(
-      "| sharing | turns complete | cut | drops | tokens computed | bytes moved | first piece p50 s | p99 s "
+      "| sharing | turns complete | cut | refusals | tokens computed | bytes moved | first piece p50 s | p99 "
+      "s "
       "|\n"
       "|---|---|---|---|---|---|---|---|\n");
   for (bool on : {false, true}) {
@@ -168,13 +169,13 @@
     moved = run.sum("engine", "herontally_engine_kv_bytes_in_total");
     printf("| %s | %lld | %lld | %lld | %.0f | %.0f | %.3f | %.3f |\n", on ? "on" : "off",
            static_cast<long long>(run.complete), static_cast<long long>(run.cut),
-           static_cast<long long>(run.drops), computed, moved, at(run.first, 0.5), at(run.first, 0.99));
+           static_cast<long long>(run.refusals), computed, moved, at(run.first, 0.5), at(run.first, 0.99));
   }
 }
 
 void measure_crowd() {
   printf(
-      "| clients at once | turns complete | drops | time to a drop's answer p50 s | most s | first piece "
+      "| clients at once | turns complete | refusals | time to a refusal p50 s | most s | first piece "
       "p50 s | "
       "p99 s | cut |\n|---|---|---|---|---|---|---|---|\n");
   for (std::int64_t crowd : {100, 500, 2000, 5000}) {
@@ -183,14 +184,16 @@
     run.load(5, 2, crowd);
     run.finish();
     printf("| %lld | %lld | %lld | %.3f | %.3f | %.3f | %.3f | %lld |\n", static_cast<long long>(crowd),
-           static_cast<long long>(run.complete), static_cast<long long>(run.drops), at(run.drop_seconds, 0.5),
-           at(run.drop_seconds, 1), at(run.first, 0.5), at(run.first, 0.99), static_cast<long long>(run.cut));
+           static_cast<long long>(run.complete), static_cast<long long>(run.refusals),
+           at(run.refusal_seconds, 0.5), at(run.refusal_seconds, 1), at(run.first, 0.5), at(run.first, 0.99),
+           static_cast<long long>(run.cut));
   }
 }
 
 void measure_slow_disk() {
   printf(
-      "| storage machines with syncs of 150 to 300 ms | turns complete | drops | first piece p50 s | p99 s "
+      "| storage machines with syncs of 150 to 300 ms | turns complete | refusals | first piece p50 s | p99 "
+      "s "
       "|\n"
       "|---|---|---|---|---|\n");
   for (int slow : {0, 1, 2, 3}) {
@@ -201,7 +204,7 @@
     run.load(10, 15);
     run.finish();
     printf("| %d | %lld | %lld | %.3f | %.3f |\n", slow, static_cast<long long>(run.complete),
-           static_cast<long long>(run.drops), at(run.first, 0.5), at(run.first, 0.99));
+           static_cast<long long>(run.refusals), at(run.first, 0.5), at(run.first, 0.99));
   }
 }
 
--- a/src/hsim/oracle.cc
+++ b/src/hsim/oracle.cc
@@ -108,7 +108,7 @@
   if (budget != self.budgets.end() && program.streamed > budget->second.first + budget->second.second)
     self.fail("budget", seen.program + " got " + std::to_string(program.streamed) + " tokens");
   if (seen.status == 402) turn.told_spent = true;
-  if (seen.status != 0 && seen.status != 200) ++self.dropped;
+  if (seen.status != 0 && seen.status != 200) ++self.refused;
   if (seen.ran == "no" && !seen.request_id.empty()) {
     self.never_run.insert(seen.request_id);
     if (self.ran.count(seen.request_id))
@@ -178,7 +178,7 @@
 nlohmann::json oracle::counts() const {
   auto& self = *state_;
   return {
-      {"turns", self.turns}, {"complete", self.complete},    {"cut", self.cut},    {"dropped", self.dropped},
+      {"turns", self.turns}, {"complete", self.complete},    {"cut", self.cut},    {"refused", self.refused},
       {"runs", self.runs},   {"calls", self.calls_seen},     {"hits", self.hits},  {"replays", self.replays},
       {"pulls", self.pulls}, {"expired_cuts", self.expired}, {"looks", self.looks}};
 }
--- a/src/hsim/oracle_engines.cc
+++ b/src/hsim/oracle_engines.cc
@@ -24,7 +24,7 @@
 }
 
 // No slack: a request counts by when its sender let it go. How long it may then be under way is the world's
-// and the runtime's affair (`connect_patience`).
+// and the runtime's affair (`default_connect_timeout`).
 void oracle::state::check_arrival(const engine_facts& engine, const run& what) {
   if (engine.learned_leaving >= 0 && what.sent > engine.learned_leaving + 3 * rt::second)
     fail("drain", engine.name + " got " + what.what + " " +
--- a/src/hsim/oracle_state.h
+++ b/src/hsim/oracle_state.h
@@ -47,7 +47,7 @@
   std::map<std::string, block_owner> blocks;
   std::map<std::string, microseconds> evacuated;
   std::vector<std::pair<microseconds, std::int64_t>> acknowledged;  // when, revision
-  std::int64_t turns = 0, complete = 0, cut = 0, dropped = 0, calls_seen = 0, runs = 0, hits = 0, replays = 0,
+  std::int64_t turns = 0, complete = 0, cut = 0, refused = 0, calls_seen = 0, runs = 0, hits = 0, replays = 0,
                pulls = 0, expired = 0, looks = 0;
   explicit state(world& place) : where(place) {}
 
--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -14,11 +14,11 @@
   eyes.begin = [&judge](const seen_turn& asked) { judge.turn_begins(asked); };
   eyes.turn = [&judge, trouble](const seen_turn& seen) {
     judge.turn_seen(seen);
-    if (trouble && (seen.end == "complete" || seen.status == 402)) trouble->word_given();
+    if (trouble && (seen.end == "complete" || seen.status == 402)) trouble->reply_received();
   };
   eyes.call = [&judge, trouble](const seen_call& seen) {
     judge.call_seen(seen);
-    if (trouble && (seen.status == 200 || seen.ran == "no")) trouble->word_given();
+    if (trouble && (seen.status == 200 || seen.ran == "no")) trouble->reply_received();
   };
   return eyes;
 }
@@ -49,8 +49,8 @@
 static void begin_load(site& place, const run_options& choice, oracle& judge, faults& trouble,
                        load_run& load) {
   auto& where = place.where();
-  const double patiences[] = {40, 3, 1};
-  double patience = patiences[where.draw(3)];
+  const double timeouts[] = {40, 3, 1};
+  double timeout = timeouts[where.draw(3)];
   for (auto& partner : place.options().partners) {
     if (partner.models == 0) continue;
     ++load.wanted;
@@ -60,7 +60,7 @@
     traffic.requests_per_second = choice.requests_per_second;
     traffic.seconds = choice.storm_seconds;
     // Some clients turn to another door while the first may still be at work.
-    traffic.patience_seconds = patience;
+    traffic.timeout_seconds = timeout;
     traffic.crowd_at_second = static_cast<double>(5 + where.draw(20));
     traffic.crowd = static_cast<std::int64_t>(where.draw(4) ? where.draw(60) : 200 + where.draw(300));
     place.callers().spawn(offer_load(place.callers(), traffic, eyes_of(judge, &trouble), &load));
--- a/src/hsim/scenario.h
+++ b/src/hsim/scenario.h
@@ -1,5 +1,5 @@
 // One run from one seed: a site under traffic, faults drawn from the seed, then peace, then the oracle's
-// word.
+// verdict.
 #pragma once
 #include "hsim/site.h"
 
--- a/src/hsim/world.h
+++ b/src/hsim/world.h
@@ -64,7 +64,7 @@
 
   void boot(const std::string& name);
   herontally::runtime::handle runtime_of(const std::string& name);
-  // `silent`: as when the power goes, with no word to those who talk to it.
+  // `silent`: as when the power goes, without telling those who talk to it.
   void kill(const std::string& name, disk_loss loss, bool silent = false);
   void freeze(const std::string& name);
   void wake(const std::string& name);
--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -192,7 +192,7 @@
     };
     here->carry(name, exchange->server, exchange->server_life, std::move(deliver), bytes);
     // A channel that isn't made within this time is given up, and with it the request that it was for.
-    here->schedule(request.patience, name, life, [weak, exchange] {
+    here->schedule(request.connect_timeout, name, life, [weak, exchange] {
       auto world = weak.lock();
       if (!world || exchange->arrived || exchange->ended || exchange->client_closed) return;
       auto& place = *world->machines.at(exchange->server);
--- a/src/htrace/main.cc
+++ b/src/htrace/main.cc
@@ -131,8 +131,8 @@
   co_return print(nodes, revision, as_json);
 }
 
-int main(int count, char** words) {
-  auto rest = settings::parse_flags(count, words, usage_text);
+int main(int count, char** arguments) {
+  auto rest = settings::parse_flags(count, arguments, usage_text);
   if (!rest.empty()) settings::end_with("htrace", {rest[0], "is not expected"});
   std::vector<std::string> seeds;
   std::string text = absl::GetFlag(FLAGS_seeds);
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -40,14 +40,14 @@
   state_->out = std::move(out);
 }
 
-static void emit(log4cplus::LogLevel level, const char* word, const std::string& node,
+static void emit(log4cplus::LogLevel level, const char* level_name, const std::string& node,
                  const journal::sink& out, const std::string& what, json fields) {
   // Nothing is built for a level that nobody reads.
   if (!out && !root_logger().isEnabledFor(level)) return;
-  fields["level"] = word;
+  fields["level"] = level_name;
   fields["node"] = node;
   fields["event"] = what;
-  if (out) return out(word, fields);
+  if (out) return out(level_name, fields);
   fields["time_us"] = std::chrono::duration_cast<std::chrono::microseconds>(
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
--- a/src/members/members_state.h
+++ b/src/members/members_state.h
@@ -18,7 +18,7 @@
   if (status == "suspect") return 1;
   return status == "dead" ? 2 : 3;
 }
-// A newer life beats an older one, a refutation beats what it refutes, and else the worse word counts.
+// A newer life beats an older one, a refutation beats what it refutes, and else the worse status counts.
 inline bool supersedes(const wire::member& next, const wire::member& old) {
   if (next.incarnation != old.incarnation) return next.incarnation > old.incarnation;
   if (next.doubt != old.doubt) return next.doubt > old.doubt;
--- a/src/prefix/prefix.h
+++ b/src/prefix/prefix.h
@@ -41,7 +41,7 @@
   // An engine restarted, changed weights, drains or left: nothing is believed of it any more.
   void forget(names::index engine);
   // It was said to hold `foretold` blocks and had `found`: beyond those it is believed no more, and
-  // its word counts for less until it proves right again.
+  // what is believed of it counts for less until it proves right again.
   void correct(names::index engine, const std::vector<std::string>& hashes, std::size_t found,
                std::size_t foretold);
   double belief(names::index engine) const;
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -16,7 +16,7 @@
 constexpr microseconds second = 1000 * millisecond;
 // A request whose channel isn't made within this time is given up: it must not reach a back end long after it
 // was decided on.
-constexpr microseconds connect_patience = second;
+constexpr microseconds default_connect_timeout = second;
 
 enum class channel_error { unreachable, timed_out, closed, oversized };
 enum class disk_error { failed, full, missing };
@@ -78,7 +78,8 @@
   // The header that the answer must carry with this value; a whole answer without it belongs to another
   // request, is read to its end and passed over. Empty: any answer is taken.
   std::string echo_name, echo_value;
-  microseconds patience = second;  // to come up; later it would reach a back end long after it was decided on
+  // For the connection to come up; later the request would reach a back end long after it was decided on.
+  microseconds connect_timeout = default_connect_timeout;
 };
 
 struct disk_table {
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -35,7 +35,7 @@
       owner->stop();
     };
     loop.runtime().spawn(end(&*node, &loop));
-    // Whatever hangs must not outlast the platform's patience.
+    // Whatever hangs must not outlast the notice.
     loop.runtime().after(place.notice_milliseconds * millisecond, [&loop] { loop.stop(); });
   });
   loop.run();
@@ -45,8 +45,8 @@
 }
 
 template <class Node>
-int run_program(int count, char** words, const std::string& role, const std::string& purpose) {
-  return run_place<Node>(settings::from_command_line(count, words, role, purpose), role);
+int run_program(int count, char** arguments, const std::string& role, const std::string& purpose) {
+  return run_place<Node>(settings::from_command_line(count, arguments, role, purpose), role);
 }
 
 }  // namespace herontally::runtime
--- a/src/runtime/real_answer.cc
+++ b/src/runtime/real_answer.cc
@@ -46,7 +46,7 @@
   return 0;
 }
 
-// The most that an idle connection may be kept by the other side's own word.
+// The most that an idle connection may be kept as the other side itself says.
 microseconds idle_limit_of(const http_head& head) {
   auto found = head.headers.find("keep-alive");
   if (found == head.headers.end()) return -1;
@@ -120,7 +120,7 @@
                       [](unsigned char letter) { return letter == '\r' || letter == '\n' || letter == 0; });
 }
 
-bool one_word(const std::string& text) {
+bool is_one_token(const std::string& text) {
   return !text.empty() && std::none_of(text.begin(), text.end(),
                                        [](unsigned char letter) { return letter <= ' ' || letter == 127; });
 }
@@ -158,12 +158,12 @@
 
 std::string request_bytes(const std::string& address, const http_request& request) {
   std::string path = request.path.empty() ? "/" : request.path;
-  if (!one_word(request.method) || !one_word(path)) return "";
+  if (!is_one_token(request.method) || !is_one_token(path)) return "";
   std::string bytes, host = address;
   bytes.reserve(512 + path.size() + request.body.size());
   bytes += request.method + " " + path + " HTTP/1.1\r\n";
   for (auto& [name, value] : request.headers) {
-    if (!one_word(name) || name.find(':') != std::string::npos || !one_line(value)) return "";
+    if (!is_one_token(name) || name.find(':') != std::string::npos || !one_line(value)) return "";
     std::string lower = name;
     std::transform(lower.begin(), lower.end(), lower.begin(),
                    [](unsigned char letter) { return std::tolower(letter); });
--- a/src/runtime/real_pool.cc
+++ b/src/runtime/real_pool.cc
@@ -17,7 +17,7 @@
 
 void close_connection(client_connection* connection) {
   auto* part = connection->part;
-  if (connection->patience_timer) part->cancel(connection->patience_timer);
+  if (connection->connect_timer) part->cancel(connection->connect_timer);
   if (connection->pooled) {
     auto found = part->addresses.find(connection->address);
     auto& idle = found->second.idle;
@@ -83,13 +83,13 @@
 
 namespace {
 
-void await_connection(client_connection* connection, microseconds patience) {
+void await_connection(client_connection* connection, microseconds timeout) {
   std::weak_ptr<http_client_part> weak = connection->part->weak_from_this();
-  connection->patience_timer = connection->part->after(patience, [weak, number = connection->number] {
+  connection->connect_timer = connection->part->after(timeout, [weak, number = connection->number] {
     auto part = weak.lock();
     if (!part || !part->connections.count(number)) return;
     auto* late = part->connections[number].get();
-    late->patience_timer = 0;
+    late->connect_timer = 0;
     fail_request(late, false);
   });
 }
@@ -103,7 +103,7 @@
     if (found != part->addresses.end() && found->second.open >= request.most_connections) return nullptr;
   }
   auto* connection = open_connection(part, address, request.pooled);
-  if (connection) await_connection(connection, request.patience);
+  if (connection) await_connection(connection, request.connect_timeout);
   return connection;
 }
 
--- a/src/runtime/real_pool.h
+++ b/src/runtime/real_pool.h
@@ -35,7 +35,7 @@
 
 struct client_connection {
   http_client_part* part = nullptr;
-  std::uint64_t number = 0, running = 0, patience_timer = 0;
+  std::uint64_t number = 0, running = 0, connect_timer = 0;
   std::string address;
   bufferevent* stream = nullptr;
   bool pooled = false, connected = false, reusable = true;
--- a/src/runtime/real_pool_connection.cc
+++ b/src/runtime/real_pool_connection.cc
@@ -48,7 +48,7 @@
   auto* connection = static_cast<client_connection*>(raw);
   if (what & BEV_EVENT_CONNECTED) {
     connection->connected = true;
-    connection->part->cancel(std::exchange(connection->patience_timer, 0));
+    connection->part->cancel(std::exchange(connection->connect_timer, 0));
     return send_request(connection);
   }
   if (!connection->running) return close_connection(connection);
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -79,7 +79,7 @@
   explicit mailbox(handle runtime) : runtime_(std::move(runtime)), state_(std::make_shared<shared>()) {}
   void push(T value) const {
     state_->values.push_back(std::move(value));
-    if (state_->bell) state_->bell->set(true);
+    if (state_->notifier) state_->notifier->set(true);
   }
   bool empty() const { return state_->values.empty(); }
   std::size_t size() const { return state_->values.size(); }
@@ -87,12 +87,12 @@
   task<std::optional<T>> pop(microseconds timeout) const {
     auto state = state_;
     if (state->values.empty()) {
-      slot<bool> bell(runtime_);
-      state->bell = bell;
+      slot<bool> notifier(runtime_);
+      state->notifier = notifier;
       std::uint64_t timer = 0;
-      if (timeout >= 0) timer = runtime_.after(timeout, [bell] { bell.set(false); });
-      co_await bell.wait();
-      state->bell.reset();
+      if (timeout >= 0) timer = runtime_.after(timeout, [notifier] { notifier.set(false); });
+      co_await notifier.wait();
+      state->notifier.reset();
       if (timer) runtime_.cancel(timer);
     }
     if (state->values.empty()) co_return std::nullopt;
@@ -104,7 +104,7 @@
  private:
   struct shared {
     std::vector<T> values;
-    std::optional<slot<bool>> bell;
+    std::optional<slot<bool>> notifier;
   };
   handle runtime_;
   std::shared_ptr<shared> state_;
--- a/src/simcaller/load.cc
+++ b/src/simcaller/load.cc
@@ -26,7 +26,7 @@
 
 struct tally {
   std::int64_t turns = 0, complete = 0, cut = 0, unanswered = 0, calls = 0, calls_done = 0, calls_unknown = 0;
-  std::map<std::string, std::int64_t> drops, oddities;
+  std::map<std::string, std::int64_t> refusals, oddities;
   std::vector<double> first, whole;
   std::int64_t tokens = 0, under_way = 0;
 };
@@ -46,7 +46,7 @@
     if (seen.status == 0)
       ++counts->unanswered;
     else if (seen.status != 200)
-      ++counts->drops[std::to_string(seen.status) + " ran " + seen.ran];
+      ++counts->refusals[std::to_string(seen.status) + " ran " + seen.ran];
     else if (seen.end == "complete")
       ++counts->complete;
     else
@@ -67,14 +67,14 @@
     else if (seen.ran == "unknown")
       ++counts->calls_unknown;
     else
-      ++counts->drops["call " + std::to_string(seen.status) + " ran " + seen.ran];
+      ++counts->refusals["call " + std::to_string(seen.status) + " ran " + seen.ran];
     if (eyes.call) eyes.call(seen);
   }
 };
 
 task<> one_call(session here, std::string route, std::string key, std::string body) {
   auto seen = co_await make_call(here.runtime, here.door(), here.kind.partner, route, key, body,
-                                 here.choice.patience_seconds);
+                                 here.choice.timeout_seconds);
   here.note(seen);
 }
 
@@ -101,7 +101,7 @@
         here.eyes.begin(asked);
       }
       auto seen = co_await take_turn(here.runtime, here.door(), here.kind.partner, name, turn, prompt, 64,
-                                     here.choice.patience_seconds);
+                                     here.choice.timeout_seconds);
       here.note(seen);
       complete = seen.end == "complete";
       if (!complete)
@@ -156,8 +156,8 @@
     co_await runtime.sleep(std::min<microseconds>(gap, second));
   }
   // Until the last client is through: each comes back up to three times, when it is told to.
-  auto patience = runtime.now() + static_cast<microseconds>((choice.patience_seconds * 4 + 130) * second);
-  while (here.counts->under_way > 0 && runtime.now() < patience) co_await runtime.sleep(50 * millisecond);
+  auto latest = runtime.now() + static_cast<microseconds>((choice.timeout_seconds * 4 + 130) * second);
+  while (here.counts->under_way > 0 && runtime.now() < latest) co_await runtime.sleep(50 * millisecond);
   auto& counts = *here.counts;
   json report{{"shape", choice.shape},
               {"programs", number + (choice.crowd_at_second < 0 ? 0 : choice.crowd)},
@@ -168,7 +168,7 @@
               {"calls", counts.calls},
               {"calls_done", counts.calls_done},
               {"calls_may_have_run", counts.calls_unknown},
-              {"drops", counts.drops},
+              {"refusals", counts.refusals},
               {"oddities", counts.oddities},
               {"tokens", counts.tokens},
               {"first_piece_seconds", percentiles(counts.first)},
--- a/src/simcaller/load.h
+++ b/src/simcaller/load.h
@@ -13,7 +13,7 @@
   double requests_per_second = 20, seconds = 10;
   double crowd_at_second = -1;  // all at once
   std::int64_t crowd = 0;
-  double patience_seconds = 40;
+  double timeout_seconds = 40;
 };
 
 // What one client saw of one request, for those who check.
@@ -38,9 +38,9 @@
 
 runtime::task<seen_turn> take_turn(runtime::handle runtime, std::string door, std::string partner,
                                    std::string program, std::string turn, std::string prompt,
-                                   std::int64_t most_tokens, double patience);
+                                   std::int64_t most_tokens, double timeout);
 runtime::task<seen_call> make_call(runtime::handle runtime, std::string door, std::string partner,
-                                   std::string route, std::string key, std::string body, double patience);
+                                   std::string route, std::string key, std::string body, double timeout);
 // Runs the whole load and returns its report.
 runtime::task<nlohmann::json> run(runtime::handle runtime, options choice, watcher eyes);
 
--- a/src/simcaller/main.cc
+++ b/src/simcaller/main.cc
@@ -14,9 +14,9 @@
 
 using namespace herontally;
 
-int main(int count, char** words) {
+int main(int count, char** arguments) {
   auto rest = settings::parse_flags(
-      count, words,
+      count, arguments,
       "simcaller: offers a partner's traffic to proxies and reports what came back\n\n"
       "Usage: simcaller --doors A,B,... [--shape swanreach|zastavica]\n"
       "       [--requests_per_second N] [--seconds N] [--crowd_at_second N] [--crowd N]\n\n"
--- a/src/simcaller/requests.cc
+++ b/src/simcaller/requests.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 task<seen_turn> take_turn(runtime::handle runtime, std::string door, std::string partner, std::string program,
-                          std::string turn, std::string prompt, std::int64_t most_tokens, double patience) {
+                          std::string turn, std::string prompt, std::int64_t most_tokens, double timeout) {
   seen_turn seen;
   seen.partner = partner;
   seen.program = program;
@@ -50,7 +50,7 @@
   seen.prompt = prompt;
   seen.door = door;
   auto begun = runtime.now();
-  auto deadline = begun + static_cast<microseconds>(patience * second);
+  auto deadline = begun + static_cast<microseconds>(timeout * second);
   runtime::http_request request;
   request.method = "POST";
   request.path = "/v1/partners/" + partner + "/programs/" + program + "/turns";
@@ -76,7 +76,7 @@
         if (body.is_object()) seen.come_back_seconds = body.value("retry_after_seconds", std::int64_t{1});
         bool come_back = body.is_object() && (seen.status != 503 && seen.status != 429);
         if (!come_back && body.is_object() && !body.contains("retry_after_seconds"))
-          seen.odd = "no word when to come back";
+          seen.odd = "no time to retry at";
       }
       break;
     }
@@ -94,7 +94,7 @@
 }
 
 task<seen_call> make_call(runtime::handle runtime, std::string door, std::string partner, std::string route,
-                          std::string key, std::string body, double patience) {
+                          std::string key, std::string body, double timeout) {
   seen_call seen;
   seen.partner = partner;
   seen.route = route;
@@ -107,7 +107,7 @@
   request.headers["Content-Type"] = "application/json";
   if (!key.empty()) request.headers["Idempotency-Key"] = key;
   auto result =
-      co_await runtime::http_fetch(runtime, door, request, static_cast<microseconds>(patience * second));
+      co_await runtime::http_fetch(runtime, door, request, static_cast<microseconds>(timeout * second));
   if (auto* receipt = std::get_if<runtime::http_receipt>(&result)) {
     seen.status = receipt->status;
     seen.receipt = header(receipt->headers, "receipt");
--- a/src/simengine/main.cc
+++ b/src/simengine/main.cc
@@ -16,13 +16,13 @@
 
 using namespace herontally;
 
-int main(int count, char** words) {
+int main(int count, char** arguments) {
   std::string usage =
       "simengine: a stand-in for a partner's model or application engine\n\n"
       "Usage: simengine --engine FILE --only NAME [--prefill_tokens_per_second N] [--token_milliseconds N]\n"
       "       [--transfer_bytes_per_second N] [--call_milliseconds N] [--most_running N] [--block_tokens N]\n"
       "       [--hash_seed TEXT]\n\nExample:\n  simengine --engine fleet/engines.json --only perth-m1\n";
-  auto rest = settings::parse_flags(count, words, usage);
+  auto rest = settings::parse_flags(count, arguments, usage);
   if (!rest.empty()) settings::end_with("simengine", {rest[0], "is not expected"});
   FILE* file = fopen(absl::GetFlag(FLAGS_engine).c_str(), "rb");
   if (!file) settings::end_with("simengine", {"--engine", "names a file that can't be read"});
--- a/src/simengine/model.cc
+++ b/src/simengine/model.cc
@@ -135,8 +135,8 @@
   std::shared_ptr<void> place(nullptr, [self](void*) { self->leave_place(); });
   std::size_t local = self->leading(hashes);
   pulled moved;
-  auto patience = transfer.value("pull_milliseconds", std::int64_t{2000}) * millisecond;
-  bool in_time = self->runtime.now() < arrived + patience;
+  auto pull_timeout = transfer.value("pull_milliseconds", std::int64_t{2000}) * millisecond;
+  bool in_time = self->runtime.now() < arrived + pull_timeout;
   if (transfer.contains("remote_host") && local < hashes.size() && in_time && !out->closed()) {
     auto flown = self->take_off("borrow", request, out);
     seen.what = "borrow";
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -120,9 +120,9 @@
   auto self = shared_from_this();
   ++self->waiting;
   while (self->running >= self->choice.most_running) {
-    runtime::slot<bool> bell(self->runtime);
-    self->line.push_back(bell);
-    co_await bell.wait();
+    runtime::slot<bool> notifier(self->runtime);
+    self->line.push_back(notifier);
+    co_await notifier.wait();
   }
   --self->waiting;
   ++self->running;
--- a/src/simplatform/main.cc
+++ b/src/simplatform/main.cc
@@ -11,12 +11,12 @@
 
 using namespace herontally;
 
-int main(int count, char** words) {
+int main(int count, char** arguments) {
   std::string usage =
       "simplatform: a stand-in for the platform that lists engines and checks readiness\n\n"
       "Usage: simplatform --listen IP:PORT --engines FILE [--nodes A,B,...] [--late_milliseconds N]\n\n"
       "Example:\n  simplatform --listen 127.0.0.1:7900 --engines fleet/engines.json\n";
-  auto rest = settings::parse_flags(count, words, usage);
+  auto rest = settings::parse_flags(count, arguments, usage);
   if (!rest.empty()) settings::end_with("simplatform", {rest[0], "is not expected"});
   simplatform::options choice;
   choice.http = absl::GetFlag(FLAGS_listen);
--- a/tests/fleet_failures.py
+++ b/tests/fleet_failures.py
@@ -243,5 +243,5 @@
 assert back < 12, "service was back after %.1f s" % back
 check("total loss: every door back %.1f s after the first kill" % back)
 print("load meanwhile: %d of %d turns complete, %d calls done, drops %s" % (
-    report["turns_complete"], report["turns"], report["calls_done"], report["drops"]))
+    report["turns_complete"], report["turns"], report["calls_done"], report["refusals"]))
 print("fleet of %s: all failures met" % site)
--- a/tests/fleet_smoke.sh
+++ b/tests/fleet_smoke.sh
@@ -53,7 +53,7 @@
 assert calm["calls_done"] >= 0.8 * calm["calls"] > 0, calm
 assert storm["turns_complete"] > 0 and storm["calls_done"] > 0, storm
 print("calm: %d turns, storm: %d of %d turns complete, drops %s, unanswered %d" % (
-    calm["turns"], storm["turns_complete"], storm["turns"], storm["drops"], storm["unanswered"]))
+    calm["turns"], storm["turns_complete"], storm["turns"], storm["refusals"], storm["unanswered"]))
 P
 for tries in $(seq 1 100); do
   if fleet status > "$folder/status"; then break; fi
