--- a/src/gateway/plan.cc
+++ b/src/gateway/plan.cc
@@ -32,10 +32,7 @@
   return engines;
 }
 
-std::variant<turn_plan, unplanned> plan_turn(const turn_subject& subject, const surroundings& around,
-                                             const std::vector<engine::engine_row>& rows,
-                                             const prefix::index& held, std::mt19937_64& random) {
-  turn_plan plan;
+static prefix::identity identity_of(const turn_subject& subject) {
   prefix::identity identity;
   identity.partner = subject.partner;
   identity.model = subject.model.name;
@@ -44,13 +41,10 @@
   identity.block_tokens = subject.model.block_tokens;
   identity.shared_tokens = subject.shared_tokens;
   identity.program = subject.program;
-  plan.hashes = prefix::block_hashes(identity, subject.prompt);
+  return identity;
+}
 
-  auto engines = engines_of(rows, "model", subject.partner, subject.model.name, around);
-  for (auto& each : engines) {
-    each.cached_blocks = held.leading(each.number, plan.hashes, around.now);
-    each.belief = held.belief(each.number);
-  }
+static placement::question question_of(const turn_subject& subject, const surroundings& around) {
   placement::question asked;
   asked.weights = subject.model.weights;
   asked.block_tokens = subject.model.block_tokens;
@@ -71,7 +65,36 @@
   asked.min_cached_token_delta = subject.model.min_cached_token_delta;
   auto own = asked.table.min_cached_token_delta.find(subject.model.name);
   if (own != asked.table.min_cached_token_delta.end()) asked.min_cached_token_delta = own->second;
+  return asked;
+}
 
+// Names the source of a pull: `source_blocks` is what it is believed to hold.
+static void name_source(turn_plan& plan, const placement::engine& source, std::size_t source_blocks,
+                        double pull_seconds) {
+  plan.source = source.number;
+  plan.foretold_blocks = source_blocks - std::min(source_blocks, plan.destination_blocks);
+  plan.order.source = source.address;
+  // Only what the destination lacks is asked for.
+  for (std::size_t position = plan.destination_blocks; position < source_blocks; ++position)
+    plan.order.source_blocks.push_back(plan.hashes[position]);
+  // Counted from the turn's arrival at its destination, and never longer than a lender that begins to leave
+  // may still be asked for: 3 s less the age that our knowledge may have.
+  plan.order.pull_milliseconds =
+      std::min<std::int64_t>(longest_pull_milliseconds, static_cast<std::int64_t>(pull_seconds * 1000));
+}
+
+std::variant<turn_plan, unplanned> plan_turn(const turn_subject& subject, const surroundings& around,
+                                             const std::vector<engine::engine_row>& rows,
+                                             const prefix::index& held, std::mt19937_64& random) {
+  turn_plan plan;
+  auto identity = identity_of(subject);
+  plan.hashes = prefix::block_hashes(identity, subject.prompt);
+  auto engines = engines_of(rows, "model", subject.partner, subject.model.name, around);
+  for (auto& each : engines) {
+    each.cached_blocks = held.leading(each.number, plan.hashes, around.now);
+    each.belief = held.belief(each.number);
+  }
+  auto asked = question_of(subject, around);
   auto made = placement::place(asked, engines, random);
   if (!made) return placement::could_serve(asked, engines) ? unplanned::busy : unplanned::hopeless;
   const auto& destination = engines[made->destination];
@@ -88,19 +111,8 @@
   plan.order.prompt = subject.prompt;
   plan.order.most_tokens = subject.most_tokens;
   plan.order.identity = identity;
-  if (made->source) {
-    const auto& source = engines[*made->source];
-    plan.source = source.number;
-    plan.foretold_blocks = made->source_blocks - std::min(made->source_blocks, destination.cached_blocks);
-    plan.order.source = source.address;
-    // Only what the destination lacks is asked for.
-    for (std::size_t position = destination.cached_blocks; position < made->source_blocks; ++position)
-      plan.order.source_blocks.push_back(plan.hashes[position]);
-    // Counted from the turn's arrival at its destination, and never longer than a lender that begins to leave
-    // may still be asked for: 3 s less the age that our knowledge may have.
-    plan.order.pull_milliseconds = std::min<std::int64_t>(
-        longest_pull_milliseconds, static_cast<std::int64_t>(subject.model.pull_seconds * 1000));
-  }
+  if (made->source)
+    name_source(plan, engines[*made->source], made->source_blocks, subject.model.pull_seconds);
   return plan;
 }
 
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -65,48 +65,75 @@
   return 1;
 }
 
-int main(int count, char** arguments) {
-  auto rest = settings::parse_flags(count, arguments, usage_text);
-  if (!rest.empty()) settings::end_with("hsim", {rest[0], "is not expected"});
-  std::string seeds = absl::GetFlag(FLAGS_seeds);
-  auto dots = seeds.find("..");
-  bool digits = dots != std::string::npos && dots > 0 && dots + 2 < seeds.size() &&
-                seeds.find_first_not_of("0123456789.") == std::string::npos;
+struct seed_range {
+  std::uint64_t first = 0, last = 0;
+};
+
+static seed_range seeds_of(const std::string& text) {
+  auto dots = text.find("..");
+  bool digits = dots != std::string::npos && dots > 0 && dots + 2 < text.size() &&
+                text.find_first_not_of("0123456789.") == std::string::npos;
   if (!digits) settings::end_with("hsim", {"--seeds", "must be A..B"});
-  std::uint64_t first = std::stoull(seeds.substr(0, dots)), last = std::stoull(seeds.substr(dots + 2));
+  return {std::stoull(text.substr(0, dots)), std::stoull(text.substr(dots + 2))};
+}
+
+static std::vector<std::string> kinds_of(const std::string& text) {
+  std::vector<std::string> chosen;
+  auto& kinds = hsim::fault_kinds();
+  for (std::size_t begin = 0; begin < text.size();) {
+    auto end = std::min(text.find(',', begin), text.size());
+    chosen.push_back(text.substr(begin, end - begin));
+    if (std::find(kinds.begin(), kinds.end(), chosen.back()) == kinds.end())
+      settings::end_with("hsim", {"--only", "names no kind of fault: " + chosen.back()});
+    begin = end + 1;
+  }
+  return chosen;
+}
+
+static hsim::run_options options_of_flags() {
   hsim::run_options choice;
   auto shape = hsim::deployment(absl::GetFlag(FLAGS_deployment));
   if (!shape) settings::end_with("hsim", {"--deployment", "must be small, swanreach, zastavica or both"});
   choice.site = *shape;
-  std::string only = absl::GetFlag(FLAGS_only);
-  for (std::size_t begin = 0; begin < only.size();) {
-    auto end = std::min(only.find(',', begin), only.size());
-    choice.only.push_back(only.substr(begin, end - begin));
-    auto& kinds = hsim::fault_kinds();
-    if (std::find(kinds.begin(), kinds.end(), choice.only.back()) == kinds.end())
-      settings::end_with("hsim", {"--only", "names no kind of fault: " + choice.only.back()});
-    begin = end + 1;
-  }
+  choice.only = kinds_of(absl::GetFlag(FLAGS_only));
   choice.faults = static_cast<int>(absl::GetFlag(FLAGS_faults));
   choice.storm_seconds = absl::GetFlag(FLAGS_seconds);
   choice.site.budget_tokens = absl::GetFlag(FLAGS_budget);
   choice.requests_per_second = absl::GetFlag(FLAGS_requests_per_second);
-  std::string broken_one = absl::GetFlag(FLAGS_broken);
+  return choice;
+}
+
+static void take_break(const std::string& broken_one) {
+  if (broken_one.empty()) return;
 #ifdef HERONTALLY_BREAKS
-  if (!broken_one.empty()) breaks().insert(broken_one);
+  breaks().insert(broken_one);
 #else
-  if (!broken_one.empty()) settings::end_with("hsim", {"--broken", "is only known to the build made for it"});
+  settings::end_with("hsim", {"--broken", "is only known to the build made for it"});
 #endif
-  logging::start("hsim", "OFF");
-  if (!absl::GetFlag(FLAGS_measure).empty()) {
-    if (!hsim::measure(absl::GetFlag(FLAGS_measure)))
-      settings::end_with("hsim", {"--measure", "must be one of: " + hsim::measurement_names()});
-    return 0;
+}
+
+static void print_violations(const hsim::run_options& choice, const hsim::run_report& report) {
+  constexpr std::size_t most_shown = 5;
+  auto seed = static_cast<unsigned long long>(choice.seed);
+  auto only = absl::GetFlag(FLAGS_only);
+  printf(
+      "seed %llu breaks %zu rules; replay: hsim --seeds %llu..%llu --faults %d --seconds %g "
+      "--requests_per_second %g --deployment %s --budget %lld%s%s --story\n",
+      seed, report.violations.size(), seed, seed, choice.faults, choice.storm_seconds,
+      choice.requests_per_second, absl::GetFlag(FLAGS_deployment).c_str(),
+      static_cast<long long>(choice.site.budget_tokens), only.empty() ? "" : " --only ", only.c_str());
+  for (std::size_t shown = 0; shown < std::min(most_shown, report.violations.size()); ++shown) {
+    auto& each = report.violations[shown];
+    printf("  %.3f s %s: %s\n", static_cast<double>(each.when) / 1e6, each.rule.c_str(), each.what.c_str());
   }
-  if (!absl::GetFlag(FLAGS_expect).empty()) return show_break(choice, first, last, broken_one);
+  fflush(stdout);
+}
+
+// Runs each seed; the exit code tells whether any broke a rule.
+static int run_seeds(hsim::run_options choice, seed_range seeds) {
   std::int64_t failed = 0, complete = 0, calls = 0;
   double moved = 0;
-  for (auto seed = first; seed <= last; ++seed) {
+  for (auto seed = seeds.first; seed <= seeds.last; ++seed) {
     choice.seed = seed;
     auto report = hsim::run_scenario(choice);
     complete += report.counts.value("complete", std::int64_t{0});
@@ -118,22 +145,27 @@
     }
     if (report.violations.empty()) continue;
     ++failed;
-    printf(
-        "seed %llu breaks %zu rules; replay: hsim --seeds %llu..%llu --faults %d --seconds %g "
-        "--requests_per_second %g --deployment %s --budget %lld%s%s --story\n",
-        static_cast<unsigned long long>(seed), report.violations.size(),
-        static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed), choice.faults,
-        choice.storm_seconds, choice.requests_per_second, absl::GetFlag(FLAGS_deployment).c_str(),
-        static_cast<long long>(choice.site.budget_tokens), only.empty() ? "" : " --only ", only.c_str());
-    std::size_t shown = 0;
-    for (auto& each : report.violations)
-      if (shown++ < 5)
-        printf("  %.3f s %s: %s\n", static_cast<double>(each.when) / 1e6, each.rule.c_str(),
-               each.what.c_str());
-    fflush(stdout);
+    print_violations(choice, report);
   }
   printf("%llu seeds, %lld with broken rules; %lld turns complete, %lld calls, %.0f bytes of cache moved\n",
-         static_cast<unsigned long long>(last - first + 1), static_cast<long long>(failed),
+         static_cast<unsigned long long>(seeds.last - seeds.first + 1), static_cast<long long>(failed),
          static_cast<long long>(complete), static_cast<long long>(calls), moved);
   return failed ? 1 : 0;
 }
+
+int main(int count, char** arguments) {
+  auto rest = settings::parse_flags(count, arguments, usage_text);
+  if (!rest.empty()) settings::end_with("hsim", {rest[0], "is not expected"});
+  auto seeds = seeds_of(absl::GetFlag(FLAGS_seeds));
+  auto choice = options_of_flags();
+  std::string broken_one = absl::GetFlag(FLAGS_broken);
+  take_break(broken_one);
+  logging::start("hsim", "OFF");
+  std::string measurement = absl::GetFlag(FLAGS_measure);
+  if (!measurement.empty()) {
+    if (hsim::measure(measurement)) return 0;
+    settings::end_with("hsim", {"--measure", "must be one of: " + hsim::measurement_names()});
+  }
+  if (!absl::GetFlag(FLAGS_expect).empty()) return show_break(choice, seeds.first, seeds.last, broken_one);
+  return run_seeds(choice, seeds);
+}
--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -77,12 +77,8 @@
   }
 }
 
-run_report run_scenario(const run_options& choice) {
-  run_report report;
-  report.seed = choice.seed;
-  world where(choice.seed);
-  oracle judge(where);
-  site_options shape = choice.site;
+// The site of a run, varied by its seed.
+static site_options draw_site(world& where, site_options shape) {
   // Long streams, so that faults meet them; budgets that are spent and raised; or neither.
   if (where.draw(2)) shape.token_milliseconds = 20;
   if (where.draw(3) == 0) {
@@ -98,7 +94,24 @@
     shape.keep_seconds = 4;
     shape.keep_growth = 5;
   }
-  site place(where, judge, shape);
+  return shape;
+}
+
+static void add_site_counts(site& place, run_report& report) {
+  double moved = 0;
+  for (auto& name : place.of_role("engine"))
+    moved += place.metric(name, "herontally_engine_kv_bytes_in_total");
+  report.counts["bytes_moved"] = moved;
+  for (auto& name : place.of_role("hstore"))
+    report.counts["views"][name] = place.metric(name, "herontally_view");
+}
+
+run_report run_scenario(const run_options& choice) {
+  run_report report;
+  report.seed = choice.seed;
+  world where(choice.seed);
+  oracle judge(where);
+  site place(where, judge, draw_site(where, choice.site));
   where.net().slow = static_cast<double>(where.draw(3)) * 0.01;
   if (!place.begin()) {
     judge.fail("start", "the site did not come up");
@@ -130,12 +143,7 @@
   report.counts.update(judge.counts());
   report.counts["load"] = load.report;
   report.counts["messages"] = where.net().messages;
-  double moved = 0;
-  for (auto& name : place.of_role("engine"))
-    moved += place.metric(name, "herontally_engine_kv_bytes_in_total");
-  report.counts["bytes_moved"] = moved;
-  for (auto& name : place.of_role("hstore"))
-    report.counts["views"][name] = place.metric(name, "herontally_view");
+  add_site_counts(place, report);
   return report;
 }
 
--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -1,113 +1,113 @@
-// HTTP exchanges between machines of the world.
-#include "hsim/world_state.h"
+// The client's side of HTTP exchanges in the world: requests on their way to a server.
+#include "hsim/world_http.h"
 
 namespace hsim {
 
-struct http_exchange {
-  std::uint64_t number = 0;
-  std::string client, server;
-  std::uint64_t client_life = 0, server_life = 0;
-  std::function<void(rt::http_event)> notify;
-  std::function<void()> on_gone;
-  std::string address, echo_name, echo_value;
-  bool pooled = false, passed_over = false;  // the answer is another request's
-  bool last = false;                         // the server wants no further request on this connection
-  bool client_closed = false, server_knows = false, ended = false, replied = false, arrived = false;
-  std::size_t unread_bytes = 0;   // what a stalled client leaves lying
-  microseconds last_arrival = 0;  // pieces arrive in the order they were sent in
-};
+static bool is_over(const http_exchange& exchange) { return exchange.client_closed || exchange.ended; }
 
-// The client's end has come through to the server.
-static void tell_gone(const std::shared_ptr<http_exchange>& exchange) {
-  exchange->server_knows = true;
-  if (auto work = std::exchange(exchange->on_gone, nullptr)) work();
+// Ends an exchange of which the server has heard nothing.
+static void fail_unsent(world::state& world, const std::shared_ptr<http_exchange>& exchange) {
+  exchange->ended = true;
+  world.exchanges.erase(exchange->number);
+  auto notify_once = std::move(exchange->notify);
+  notify_once(rt::http_failure{false});
 }
 
-// One event on its way to the client.
-static void to_client(const std::shared_ptr<world::state>& world,
-                      const std::shared_ptr<http_exchange>& exchange, rt::http_event event,
-                      std::size_t bytes) {
-  exchange->last_arrival = std::max(exchange->last_arrival + 1, world->now + world->latency());
-  std::weak_ptr<world::state> weak = world;
-  auto arrive = [weak, exchange, event = std::move(event), bytes] {
-    auto here = weak.lock();
-    if (!here || exchange->client_closed || exchange->ended) return;
-    auto& reader = *here->machines.at(exchange->client);
-    if (reader.stalled && !std::holds_alternative<rt::http_failure>(event)) {
-      exchange->unread_bytes += bytes;
-      return;
-    }
-    // An answer without the asked-for value is another request's; the client goes on waiting for its own.
-    if (auto* head = std::get_if<rt::http_head>(&event); head && !exchange->echo_name.empty()) {
-      auto echo = head->headers.find(exchange->echo_name);
-      exchange->passed_over = echo == head->headers.end() || echo->second != exchange->echo_value;
-    }
-    if (exchange->passed_over && !std::holds_alternative<rt::http_failure>(event)) return;
-    bool last =
-        std::holds_alternative<rt::http_end>(event) || std::holds_alternative<rt::http_failure>(event);
-    exchange->ended = last;
-    if (last) here->exchanges.erase(exchange->number);
-    auto notify = exchange->notify;
-    if (last) exchange->notify = nullptr;
-    notify(event);
-  };
-  world->carry(exchange->server, exchange->client, exchange->client_life, std::move(arrive), bytes,
-               exchange->last_arrival);
-}
-
-// Whoever receives a head finds its names in lower case, as over a real connection.
-static rt::http_head head_of(const http_exchange& exchange, int status,
-                             const std::map<std::string, std::string>& headers) {
-  rt::http_head head{status, {}};
-  if (exchange.last) head.headers["connection"] = "close";
-  for (auto& [name, value] : headers) {
-    std::string lower = name;
+static rt::inbound_request inbound_of(const rt::http_request& request, const std::string& client,
+                                      microseconds now) {
+  rt::inbound_request incoming;
+  incoming.method = request.method;
+  incoming.target = request.path;
+  auto query = request.path.find('?');
+  incoming.path = request.path.substr(0, query);
+  if (query != std::string::npos) incoming.query = request.path.substr(query + 1);
+  incoming.body = request.body;
+  incoming.peer = client + ":1";
+  for (auto& [header, value] : request.headers) {
+    std::string lower = header;
     for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
-    head.headers[lower] = value;
+    incoming.headers[lower] = value;
   }
-  return head;
+  // For the oracle: when the request left its sender.
+  incoming.headers["x-sim-sent"] = std::to_string(now);
+  return incoming;
 }
 
-static std::shared_ptr<rt::http_writer> make_writer(std::weak_ptr<world::state> weak,
-                                                    std::shared_ptr<http_exchange> exchange) {
-  auto writer = std::make_shared<rt::http_writer>();
-  auto send = [weak, exchange](rt::http_event event, std::size_t bytes) {
-    auto here = weak.lock();
-    if (here) to_client(here, exchange, std::move(event), bytes);
-  };
-  writer->reply = [send, exchange](rt::http_receipt receipt) {
-    if (std::exchange(exchange->replied, true)) return;
-    exchange->on_gone = nullptr;
-    send(head_of(*exchange, receipt.status, receipt.headers), 100);
-    if (!receipt.body.empty()) send(rt::http_piece{receipt.body}, receipt.body.size());
-    send(rt::http_end{}, 0);
-  };
-  writer->start = [send, exchange](int status, std::map<std::string, std::string> headers) {
-    send(head_of(*exchange, status, headers), 100);
-  };
-  writer->piece = [send](std::string bytes) {
-    auto size = bytes.size();
-    send(rt::http_piece{std::move(bytes)}, size);
-  };
-  writer->finish = [send, exchange] {
-    exchange->on_gone = nullptr;
-    if (!std::exchange(exchange->replied, true)) send(rt::http_end{}, 0);
-  };
-  writer->closed = [exchange] { return exchange->server_knows; };
-  writer->backlog = [exchange] { return exchange->unread_bytes; };
-  writer->cut = [send, exchange] {
-    exchange->on_gone = nullptr;
-    if (!std::exchange(exchange->replied, true)) send(rt::http_failure{true}, 0);
-  };
-  // Each exchange has a connection of its own here; who keeps one for several requests is told.
-  writer->last_on_connection = [exchange] { exchange->last = true; };
-  writer->on_gone = [weak, exchange](std::function<void()> work) {
-    exchange->on_gone = std::move(work);
-    auto here = weak.lock();
-    if (here && exchange->server_knows)
-      here->schedule(0, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); });
+// The request arrives and is handled there.
+static void deliver(const std::weak_ptr<world::state>& weak, const std::shared_ptr<http_exchange>& exchange,
+                    const rt::inbound_request& incoming) {
+  auto world = weak.lock();
+  // Bytes follow the handshake: a request that was given up before it got through never arrives.
+  if (!world || is_over(*exchange)) return;
+  exchange->arrived = true;
+  auto& place = *world->machines.at(exchange->server);
+  auto handler = place.http.find(exchange->address);
+  if (handler != place.http.end()) handler->second(incoming, make_writer(weak, exchange));
+}
+
+// A connection that isn't made in time is given up, and with it the request that it was for.
+static void end_unconnected(const std::weak_ptr<world::state>& weak,
+                            const std::shared_ptr<http_exchange>& exchange) {
+  auto world = weak.lock();
+  if (!world || exchange->arrived || is_over(*exchange)) return;
+  auto& place = *world->machines.at(exchange->server);
+  // A frozen machine's kernel still takes the connection.
+  bool taken = place.up && place.life == exchange->server_life && place.frozen &&
+               !world->cuts.count({exchange->client, exchange->server});
+  if (!taken) fail_unsent(*world, exchange);
+}
+
+static std::shared_ptr<http_exchange> make_exchange(world::state& world, const std::string& client,
+                                                    std::uint64_t life, const std::string& address,
+                                                    const rt::http_request& request) {
+  auto exchange = std::make_shared<http_exchange>();
+  exchange->number = world.next++;
+  exchange->client = client;
+  exchange->client_life = life;
+  exchange->address = address;
+  exchange->pooled = request.pooled;
+  exchange->echo_name = request.echo_name;
+  exchange->echo_value = request.echo_value;
+  return exchange;
+}
+
+// Sends the request on its way, or has it refused.
+static void begin_exchange(const std::shared_ptr<world::state>& here,
+                           const std::shared_ptr<http_exchange>& exchange, const rt::http_request& request) {
+  std::weak_ptr<world::state> weak = here;
+  const auto& client = exchange->client;
+  bool full = request.pooled && here->open_to(client, exchange->address) >= request.most_connections;
+  here->exchanges[exchange->number] = exchange;
+  auto* target = full ? nullptr : here->listening(exchange->address);
+  if (!target) {
+    here->schedule(2 * here->latency(), client, exchange->client_life, [weak, exchange] {
+      auto world = weak.lock();
+      if (world && !is_over(*exchange)) fail_unsent(*world, exchange);
+    });
+    return;
+  }
+  exchange->server = target->name;
+  exchange->server_life = target->life;
+  auto arrive = [weak, exchange, incoming = inbound_of(request, client, here->now)] {
+    deliver(weak, exchange, incoming);
   };
-  return writer;
+  constexpr std::size_t head_bytes = 200;
+  here->carry(client, exchange->server, exchange->server_life, std::move(arrive),
+              request.body.size() + head_bytes);
+  here->schedule(request.connect_timeout, client, exchange->client_life,
+                 [weak, exchange] { end_unconnected(weak, exchange); });
+}
+
+static void cancel_exchange(world::state& world, std::uint64_t number) {
+  auto found = world.exchanges.find(number);
+  if (found == world.exchanges.end()) return;
+  auto exchange = found->second;
+  world.exchanges.erase(found);
+  exchange->client_closed = true;
+  exchange->notify = nullptr;
+  if (exchange->server.empty()) return;
+  world.carry(
+      exchange->client, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); }, 0);
 }
 
 std::size_t world::state::open_to(const std::string& client, const std::string& address) const {
@@ -117,10 +117,8 @@
   return count;
 }
 
-void world::state::bind_http(struct machine* self, rt::backend& table) {
-  std::weak_ptr<state> weak = shared_from_this();
-  std::string name = self->name;
-  std::uint64_t life = self->life;
+static void bind_http_server(const std::weak_ptr<world::state>& weak, const std::string& name,
+                             rt::backend& table) {
   table.http_serve = [weak, name](std::string address, rt::http_handler handler) {
     auto here = weak.lock();
     if (!here) return false;
@@ -135,88 +133,24 @@
     auto found = here->by_address.find(address);
     if (found != here->by_address.end() && found->second == name) here->by_address.erase(found);
   };
+}
+
+void world::state::bind_http(struct machine* self, rt::backend& table) {
+  std::weak_ptr<state> weak = shared_from_this();
+  std::string name = self->name;
+  std::uint64_t life = self->life;
+  bind_http_server(weak, name, table);
   table.http_open = [weak, name, life](std::string address, rt::http_request request,
                                        std::function<void(rt::http_event)> notify) -> std::uint64_t {
     auto here = weak.lock();
     if (!here) return 0;
-    auto exchange = std::make_shared<http_exchange>();
-    exchange->number = here->next++;
-    exchange->client = name;
-    exchange->client_life = life;
+    auto exchange = make_exchange(*here, name, life, address, request);
     exchange->notify = std::move(notify);
-    exchange->address = address;
-    exchange->pooled = request.pooled;
-    exchange->echo_name = request.echo_name;
-    exchange->echo_value = request.echo_value;
-    bool full = request.pooled && here->open_to(name, address) >= request.most_connections;
-    here->exchanges[exchange->number] = exchange;
-    auto* target = full ? nullptr : here->listening(address);
-    if (!target) {
-      here->schedule(2 * here->latency(), name, life, [weak, exchange] {
-        auto world = weak.lock();
-        if (!world || exchange->client_closed || exchange->ended) return;
-        exchange->ended = true;
-        world->exchanges.erase(exchange->number);
-        auto notify_once = std::move(exchange->notify);
-        // Refused before a byte was sent.
-        notify_once(rt::http_failure{false});
-      });
-      return exchange->number;
-    }
-    exchange->server = target->name;
-    exchange->server_life = target->life;
-    rt::inbound_request incoming;
-    incoming.method = request.method;
-    incoming.target = request.path;
-    auto query = request.path.find('?');
-    incoming.path = request.path.substr(0, query);
-    if (query != std::string::npos) incoming.query = request.path.substr(query + 1);
-    incoming.body = request.body;
-    incoming.peer = name + ":1";
-    for (auto& [header, value] : request.headers) {
-      std::string lower = header;
-      for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
-      incoming.headers[lower] = value;
-    }
-    // For the oracle: when the request left its sender.
-    incoming.headers["x-sim-sent"] = std::to_string(here->now);
-    auto bytes = request.body.size() + 200;
-    auto deliver = [weak, exchange, address, incoming] {
-      auto world = weak.lock();
-      // Bytes follow the handshake: a request that was given up before it got through never arrives.
-      if (!world || exchange->client_closed || exchange->ended) return;
-      exchange->arrived = true;
-      auto& place = *world->machines.at(exchange->server);
-      auto handler = place.http.find(address);
-      if (handler != place.http.end()) handler->second(incoming, make_writer(weak, exchange));
-    };
-    here->carry(name, exchange->server, exchange->server_life, std::move(deliver), bytes);
-    // A channel that isn't made within this time is given up, and with it the request that it was for.
-    here->schedule(request.connect_timeout, name, life, [weak, exchange] {
-      auto world = weak.lock();
-      if (!world || exchange->arrived || exchange->ended || exchange->client_closed) return;
-      auto& place = *world->machines.at(exchange->server);
-      // A frozen machine's kernel still takes the channel.
-      bool taken = place.up && place.life == exchange->server_life && place.frozen &&
-                   !world->cuts.count({exchange->client, exchange->server});
-      if (taken) return;
-      exchange->ended = true;
-      world->exchanges.erase(exchange->number);
-      auto notify_once = std::move(exchange->notify);
-      notify_once(rt::http_failure{false});
-    });
+    begin_exchange(here, exchange, request);
     return exchange->number;
   };
   table.http_cancel = [weak](std::uint64_t number) {
-    auto here = weak.lock();
-    if (!here || !here->exchanges.count(number)) return;
-    auto exchange = here->exchanges[number];
-    here->exchanges.erase(number);
-    exchange->client_closed = true;
-    exchange->notify = nullptr;
-    if (exchange->server.empty()) return;
-    here->carry(
-        exchange->client, exchange->server, exchange->server_life, [exchange] { tell_gone(exchange); }, 0);
+    if (auto here = weak.lock()) cancel_exchange(*here, number);
   };
 }
 
--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -51,6 +51,69 @@
   }
 };
 
+// The callee's answer on its way back.
+static void send_answer(const std::weak_ptr<world::state>& weak, const std::shared_ptr<message_call>& call,
+                        std::string answer) {
+  auto here = weak.lock();
+  if (!here) return;
+  auto bytes = answer.size();
+  auto arrive = [call, answer = std::move(answer)] {
+    if (answer.empty())
+      call->end(rt::channel_error::closed);
+    else
+      call->end(answer);
+  };
+  here->carry(call->callee, call->caller, call->caller_life, std::move(arrive), bytes);
+}
+
+// The message arrives and is handled there.
+static void deliver(const std::weak_ptr<world::state>& weak, const std::shared_ptr<message_call>& call,
+                    const std::string& address, const std::string& payload) {
+  auto here = weak.lock();
+  if (!here || !here->lives(call->callee, call->callee_life)) return;
+  auto& place = *here->machines.at(call->callee);
+  auto handler = place.inner.find(address);
+  if (handler == place.inner.end()) return;
+  handler->second(payload, [weak, call](std::string answer) { send_answer(weak, call, std::move(answer)); });
+}
+
+// Counts the sender's messages to storage machines down to the one at which it freezes.
+static void freeze_if_due(struct machine& sender, const std::string& callee) {
+  bool aimed = sender.sends_until_freeze > 0 && callee.rfind("store", 0) == 0;
+  if (aimed && --sender.sends_until_freeze == 0) sender.frozen = true;
+}
+
+static void remember_call(world::state& world, const std::shared_ptr<message_call>& call) {
+  constexpr std::size_t most_calls = 4000;
+  if (world.calls.size() > most_calls) std::erase_if(world.calls, [](auto& each) { return each.expired(); });
+  world.calls.push_back(call);
+}
+
+static void send_call(const std::shared_ptr<world::state>& here, const std::shared_ptr<message_call>& call,
+                      const std::string& address, const std::string& payload) {
+  std::weak_ptr<world::state> weak = here;
+  auto* target = here->listening(address);
+  if (!target) {
+    // Nobody listens there: the refusal comes back as fast as any answer.
+    here->schedule(2 * here->latency(), call->caller, call->caller_life,
+                   [call] { call->end(rt::channel_error::unreachable); });
+    return;
+  }
+  call->callee = target->name;
+  call->callee_life = target->life;
+  freeze_if_due(*here->machines.at(call->caller), call->callee);
+  remember_call(*here, call);
+  auto arrive = [weak, call, address, payload] { deliver(weak, call, address, payload); };
+  if (here->net.twice > 0 && static_cast<double>(here->random() % 10000) < here->net.twice * 10000) {
+    // A sender that was cut off sends again on a new channel, and the first copy arrives after all.
+    auto late = static_cast<microseconds>(here->random() % (2 * rt::second));
+    here->schedule(late, "", 0, [weak, call, arrive] {
+      if (auto world = weak.lock()) world->carry(call->caller, call->callee, call->callee_life, arrive, 0);
+    });
+  }
+  here->carry(call->caller, call->callee, call->callee_life, std::move(arrive), payload.size());
+}
+
 void world::state::bind_inner(struct machine* self, rt::backend& table) {
   std::weak_ptr<state> weak = shared_from_this();
   std::string name = self->name;
@@ -71,49 +134,7 @@
     call->caller_life = life;
     call->done = std::move(done);
     here->schedule(timeout, name, life, [call] { call->end(rt::channel_error::timed_out); });
-    auto* target = here->listening(to);
-    if (!target) {
-      // Nobody listens there: the refusal comes back as fast as any answer.
-      here->schedule(2 * here->latency(), name, life, [call] { call->end(rt::channel_error::unreachable); });
-      return;
-    }
-    call->callee = target->name;
-    auto& sender = *here->machines.at(name);
-    bool aimed = sender.sends_until_freeze > 0 && call->callee.rfind("store", 0) == 0;
-    if (aimed && --sender.sends_until_freeze == 0) sender.frozen = true;
-    call->callee_life = target->life;
-    if (here->calls.size() > 4000) std::erase_if(here->calls, [](auto& each) { return each.expired(); });
-    here->calls.push_back(call);
-    auto deliver = [weak, call, to, payload]() mutable {
-      auto world = weak.lock();
-      if (!world || !world->lives(call->callee, call->callee_life)) return;
-      auto& place = *world->machines.at(call->callee);
-      auto handler = place.inner.find(to);
-      if (handler == place.inner.end()) return;
-      handler->second(payload, [weak, call](std::string answer) {
-        auto again = weak.lock();
-        if (!again) return;
-        auto bytes = answer.size();
-        again->carry(
-            call->callee, call->caller, call->caller_life,
-            [call, answer = std::move(answer)] {
-              if (answer.empty())
-                call->end(rt::channel_error::closed);
-              else
-                call->end(answer);
-            },
-            bytes);
-      });
-    };
-    auto bytes = payload.size();
-    if (here->net.twice > 0 && static_cast<double>(here->random() % 10000) < here->net.twice * 10000) {
-      // A sender that was cut off sends again on a new channel, and the first copy arrives after all.
-      auto late = static_cast<microseconds>(here->random() % (2 * rt::second));
-      here->schedule(late, "", 0, [weak, call, deliver]() mutable {
-        if (auto world = weak.lock()) world->carry(call->caller, call->callee, call->callee_life, deliver, 0);
-      });
-    }
-    here->carry(name, call->callee, call->callee_life, std::move(deliver), bytes);
+    send_call(here, call, to, payload);
   };
 }
 
--- a/src/runtime/real_http_writer.cc
+++ b/src/runtime/real_http_writer.cc
@@ -67,19 +67,9 @@
   for (auto& [name, value] : headers) evhttp_add_header(out, name.c_str(), value.c_str());
 }
 
-}  // namespace
-
-server_exchange::~server_exchange() {
-  if (usable()) evhttp_send_error(request, 500, nullptr);
-}
-
-std::shared_ptr<http_writer> make_http_writer(const std::shared_ptr<http_server_part>& part,
-                                              evhttp_request* request) {
-  auto held = std::make_shared<server_exchange>();
-  held->request = request;
-  held->part = part;
-  auto writer = std::make_shared<http_writer>();
-  writer->reply = [held](http_receipt receipt) {
+// The functions that answer.
+void bind_answer(http_writer& writer, const std::shared_ptr<server_exchange>& held) {
+  writer.reply = [held](http_receipt receipt) {
     if (!held->usable()) return;
     held->on_gone = nullptr;
     auto* request = std::exchange(held->request, nullptr);
@@ -89,33 +79,37 @@
     evhttp_send_reply(request, receipt.status, reason_of(receipt.status), body);
     evbuffer_free(body);
   };
-  writer->start = [held](int status, std::map<std::string, std::string> headers) {
+  writer.start = [held](int status, std::map<std::string, std::string> headers) {
     if (!held->usable()) return;
     add_headers(held->request, headers);
     evhttp_send_reply_start(held->request, status, reason_of(status));
   };
-  writer->piece = [held](std::string bytes) {
+  writer.piece = [held](std::string bytes) {
     if (!held->usable() || !evhttp_request_get_connection(held->request)) return;
     evbuffer* chunk = evbuffer_new();
     evbuffer_add(chunk, bytes.data(), bytes.size());
     evhttp_send_reply_chunk(held->request, chunk);
     evbuffer_free(chunk);
   };
-  writer->finish = [held] {
+  writer.finish = [held] {
     if (!held->usable()) return;
     held->on_gone = nullptr;
     evhttp_send_reply_end(std::exchange(held->request, nullptr));
   };
-  writer->closed = [held] {
+}
+
+// The functions that look at the client's connection, or end it.
+void bind_connection(http_writer& writer, const std::shared_ptr<server_exchange>& held) {
+  writer.closed = [held] {
     return held->gone || !held->usable() || !evhttp_request_get_connection(held->request);
   };
-  writer->backlog = [held]() -> std::size_t {
+  writer.backlog = [held]() -> std::size_t {
     if (!held->usable()) return 0;
     auto* channel = evhttp_request_get_connection(held->request);
     if (!channel) return 0;
     return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(channel)));
   };
-  writer->cut = [held] {
+  writer.cut = [held] {
     if (!held->usable()) return;
     auto* request = std::exchange(held->request, nullptr);
     auto* channel = evhttp_request_get_connection(request);
@@ -126,7 +120,7 @@
     else
       evhttp_request_free(request);
   };
-  writer->last_on_connection = [held] {
+  writer.last_on_connection = [held] {
     if (!held->usable()) return;
     auto* headers = evhttp_request_get_output_headers(held->request);
     evhttp_remove_header(headers, "Connection");
@@ -135,10 +129,26 @@
     if (auto* channel = evhttp_request_get_connection(held->request))
       connection_of(part.get(), channel)->linger = true;
   };
-  writer->on_gone = [held](std::function<void()> work) {
+  writer.on_gone = [held](std::function<void()> work) {
     held->on_gone = std::move(work);
     watch_client(held);
   };
+}
+
+}  // namespace
+
+server_exchange::~server_exchange() {
+  if (usable()) evhttp_send_error(request, 500, nullptr);
+}
+
+std::shared_ptr<http_writer> make_http_writer(const std::shared_ptr<http_server_part>& part,
+                                              evhttp_request* request) {
+  auto held = std::make_shared<server_exchange>();
+  held->request = request;
+  held->part = part;
+  auto writer = std::make_shared<http_writer>();
+  bind_answer(*writer, held);
+  bind_connection(*writer, held);
   return writer;
 }
 
--- a/src/simengine/model.cc
+++ b/src/simengine/model.cc
@@ -1,197 +1,136 @@
-// Completions, and the lending and borrowing of blocks between model engines.
+// Completions at a model engine.
 #include "simengine/node_state.h"
 
 namespace herontally::simengine {
 
-// Asks the lender by hash which blocks remain and takes what it writes; only whole blocks that are what their
-// hash says count. Whatever goes wrong, the rest is computed here.
-task<pulled> node::state::pull(json transfer, std::vector<std::string> hashes, microseconds arrived) {
-  auto self = shared_from_this();
-  pulled result;
-  std::vector<std::string> wanted = transfer.value("block_hashes", std::vector<std::string>());
-  result.asked = static_cast<std::int64_t>(wanted.size());
-  // Hashes that aren't this prompt's own would bring in somebody else's history.
-  std::set<std::string> own(hashes.begin(), hashes.end());
-  for (auto& hash : wanted)
-    if (!own.count(hash)) co_return result;
-  runtime::http_request request;
-  request.method = "POST";
-  request.path = "/v1/kv/blocks";
-  request.body = json{{"block_hashes", wanted}}.dump();
-  std::string source =
-      transfer.value("remote_host", "") + ":" + std::to_string(transfer.value("remote_port", 0));
-  // Counted from the turn's arrival: a turn that waited for its place must not pull by an old decision.
-  microseconds deadline = arrived + transfer.value("pull_milliseconds", std::int64_t{2000}) * millisecond;
-  runtime::http_stream stream(self->runtime, source, request);
-  std::string buffer;
-  bool whole = false;
-  while (!whole && !result.failed) {
-    auto left = deadline - self->runtime.now();
-    if (left <= 0) {
-      result.failed = true;
-      break;
-    }
-    auto event = co_await stream.next(left);
-    auto* head = event ? std::get_if<runtime::http_head>(&*event) : nullptr;
-    if (!event || std::holds_alternative<runtime::http_failure>(*event) || (head && head->status != 200)) {
-      result.failed = true;
-    } else if (auto* bytes = std::get_if<runtime::http_piece>(&*event)) {
-      buffer += bytes->bytes;
-      result.bytes += static_cast<std::int64_t>(bytes->bytes.size());
-      for (auto end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n')) {
-        auto line = json::parse(buffer.substr(0, end), nullptr, false);
-        buffer.erase(0, end + 1);
-        if (!line.is_object()) continue;
-        if (line.contains("end")) whole = true;
-        if (!line.contains("hash") || !line.contains("data")) continue;
-        std::string hash = line["hash"], data = line["data"];
-        auto size = static_cast<std::size_t>(self->choice.block_tokens * self->choice.bytes_per_token);
-        bool right = static_cast<std::size_t>(result.found) < wanted.size() &&
-                     hash == wanted[static_cast<std::size_t>(result.found)] &&
-                     data == block_payload(hash, size);
-        if (!right) {
-          result.failed = true;
-          break;
-        }
-        ++result.found;
-        self->hold(hash);
-      }
-    } else if (std::holds_alternative<runtime::http_end>(*event) && !whole) {
-      result.failed = true;
-    }
-  }
-  self->journal.count("herontally_engine_kv_bytes_in_total", static_cast<double>(result.bytes));
-  self->journal.count("herontally_engine_kv_blocks_asked_total", static_cast<double>(result.asked));
-  self->journal.count("herontally_engine_kv_blocks_found_total", static_cast<double>(result.found));
-  self->journal.count("herontally_engine_kv_blocks_missed_total",
-                      static_cast<double>(result.asked - result.found));
-  if (result.failed) self->journal.count("herontally_engine_kv_pulls_failed_total");
-  co_return result;
+microseconds pull_timeout_of(const json& transfer) {
+  return transfer.value("pull_milliseconds", std::int64_t{2000}) * millisecond;
 }
 
-task<> node::state::lend(json body, gateway::writer out) {
-  auto self = shared_from_this();
-  auto hashes = body.value("block_hashes", std::vector<std::string>());
-  std::size_t have = self->leading(hashes);
-  if (self->lending >= self->choice.most_lends) {
-    // Above its own cap a lender refuses at once, and the borrower computes.
-    self->journal.count("herontally_engine_kv_lends_refused_total");
-    gateway::reply_json(out, 503, {{"error", "too many pulls"}});
-    co_return;
-  }
-  ++self->lending;
-  std::shared_ptr<void> seat(nullptr, [self](void*) { --self->lending; });
-  out->start(200, {{"Content-Type", "application/x-ndjson"}});
-  out->piece(json{{"have", have}}.dump() + "\n");
-  co_await self->runtime.sleep(static_cast<microseconds>(self->choice.pull_floor_milliseconds * 1000));
-  auto size = static_cast<std::size_t>(self->choice.block_tokens * self->choice.bytes_per_token);
-  double owed = 0;
-  for (std::size_t position = 0; position < have; ++position) {
-    if (self->lender == "pause") co_await self->runtime.sleep(3600 * second);
-    if (self->lender == "cut" && position >= have / 2) {
-      out->cut();
-      co_return;
-    }
-    std::string data = block_payload(hashes[position], size);
-    if (self->lender == "garble" && position == have / 2) data[0] ^= 1;
-    std::string line = json{{"hash", hashes[position]}, {"data", data}}.dump() + "\n";
-    self->journal.count("herontally_engine_kv_bytes_out_total", static_cast<double>(line.size()));
-    owed += static_cast<double>(line.size()) / self->choice.transfer_bytes_per_second * second;
-    out->piece(std::move(line));
-    self->hold(hashes[position]);
-    if (owed < 1000) continue;
-    co_await self->runtime.sleep(static_cast<microseconds>(owed));
-    owed = 0;
-    if (out->closed()) co_return;
-  }
-  out->piece(json{{"end", true}}.dump() + "\n");
-  out->finish();
+std::size_t node::state::block_bytes() const {
+  return static_cast<std::size_t>(choice.block_tokens * choice.bytes_per_token);
 }
 
-task<> node::state::complete(runtime::inbound_request request, json body, gateway::writer out) {
-  auto self = shared_from_this();
-  auto arrived = self->runtime.now();
-  if (self->draining) {
-    gateway::reply_json(out, 503, {{"error", "draining"}, {"ran", "no"}});
-    co_return;
-  }
-  std::vector<std::int64_t> prompt = body.value("prompt", std::vector<std::int64_t>());
-  auto transfer = body.value("kv_transfer_params", json::object());
-  auto cache = transfer.value("cache_identity", json::object());
+prefix::identity node::state::identity_of(const json& cache) const {
   prefix::identity identity;
   identity.partner = cache.value("partner", "");
-  identity.model = self->choice.serves;
-  identity.weights = self->choice.weights;
-  identity.hash_seed = self->choice.hash_seed;
-  identity.block_tokens = self->choice.block_tokens;
+  identity.model = choice.serves;
+  identity.weights = choice.weights;
+  identity.hash_seed = choice.hash_seed;
+  identity.block_tokens = choice.block_tokens;
   identity.shared_tokens = cache.value("shared_tokens", std::size_t{0});
   identity.program = cache.value("program", "");
-  auto hashes = prefix::block_hashes(identity, prompt);
-  std::string program = cache.value("program", ""), incoming = body.value("request_id", "");
-  run seen{"turn", program, incoming, "", prompt, {}, {}, {}, sent_of(request)};
+  return identity;
+}
+
+// Takes blocks that are lacking here from the source that the turn names, while that is still allowed.
+task<pulled> node::state::borrow(model_turn turn) {
+  auto self = shared_from_this();
+  bool in_time = self->runtime.now() < turn.arrived + pull_timeout_of(turn.transfer);
+  bool lacking = self->leading(turn.hashes) < turn.hashes.size();
+  if (!turn.transfer.contains("remote_host") || !lacking || !in_time || turn.out->closed())
+    co_return pulled{};
+  auto flown = self->take_off("borrow", turn.request, turn.out);
+  auto seen = turn.seen;
+  seen.what = "borrow";
+  seen.flights = self->flights("borrow");
   if (self->watcher) self->watcher(seen);
-  co_await self->take_place();
-  // However this turn ends, its place is given back.
-  std::shared_ptr<void> place(nullptr, [self](void*) { self->leave_place(); });
-  std::size_t local = self->leading(hashes);
-  pulled moved;
-  auto pull_timeout = transfer.value("pull_milliseconds", std::int64_t{2000}) * millisecond;
-  bool in_time = self->runtime.now() < arrived + pull_timeout;
-  if (transfer.contains("remote_host") && local < hashes.size() && in_time && !out->closed()) {
-    auto flown = self->take_off("borrow", request, out);
-    seen.what = "borrow";
-    seen.flights = self->flights("borrow");
-    if (self->watcher) self->watcher(seen);
-    moved = co_await self->pull(transfer, hashes, arrived);
-  }
-  std::size_t held = self->leading(hashes);
-  if (self->watcher) {
-    auto edge = hashes.begin() + static_cast<std::ptrdiff_t>(held);
-    self->watcher(
-        {"hit", program, incoming, "", prompt, {hashes.begin(), edge}, {edge, hashes.end()}, {}, seen.sent});
-  }
-  auto computed =
-      static_cast<std::int64_t>(prompt.size()) - static_cast<std::int64_t>(held) * self->choice.block_tokens;
+  auto moved = co_await self->pull(turn.transfer, turn.hashes, turn.arrived);
+  co_return moved;
+}
+
+void node::state::tell_hit(const model_turn& turn, std::size_t held) const {
+  if (!watcher) return;
+  auto edge = turn.hashes.begin() + static_cast<std::ptrdiff_t>(held);
+  auto seen = turn.seen;
+  seen.what = "hit";
+  seen.hashes = {turn.hashes.begin(), edge};
+  seen.computed = {edge, turn.hashes.end()};
+  watcher(seen);
+}
+
+// Computes what the cache doesn't hold of a prompt.
+task<> node::state::prefill(std::int64_t prompt_tokens, std::int64_t cached_tokens) {
+  auto self = shared_from_this();
+  auto computed = prompt_tokens - cached_tokens;
   // One prefill after the other: simultaneous ones slow each other.
   auto begin = std::max(self->runtime.now(), self->busy_until);
-  self->busy_until = begin + static_cast<microseconds>(static_cast<double>(computed) /
-                                                       self->choice.prefill_tokens_per_second * second);
+  auto seconds = static_cast<double>(computed) / self->choice.prefill_tokens_per_second;
+  self->busy_until = begin + static_cast<microseconds>(seconds * second);
   co_await self->runtime.sleep(self->busy_until - self->runtime.now());
   self->journal.count("herontally_engine_tokens_computed_total", static_cast<double>(computed));
-  self->journal.count("herontally_engine_tokens_cached_total",
-                      static_cast<double>(static_cast<std::int64_t>(held) * self->choice.block_tokens));
+  self->journal.count("herontally_engine_tokens_cached_total", static_cast<double>(cached_tokens));
   self->journal.count("herontally_engine_turns_total");
-  for (auto& hash : hashes) self->hold(hash);
-  json usage{{"prompt_tokens", prompt.size()},
-             {"prompt_tokens_details",
-              {{"cached_tokens", static_cast<std::int64_t>(held) * self->choice.block_tokens}}}};
-  json report{{"blocks_asked", moved.asked},
-              {"blocks_found", moved.found},
-              {"bytes_moved", moved.bytes},
-              {"pull_failed", moved.failed}};
-  out->start(200, {{"Content-Type", "text/event-stream"}});
-  auto tokens = prompt;
+}
+
+// Puts out up to `most` tokens behind these; nothing when the client has gone meanwhile.
+task<std::optional<std::int64_t>> node::state::decode(gateway::writer out,
+                                                      std::shared_ptr<std::vector<std::int64_t>> tokens,
+                                                      std::int64_t most) {
+  auto self = shared_from_this();
   std::int64_t made = 0;
-  auto most = body.value("max_tokens", std::int64_t{16});
-  while (made < most) {
+  bool over = false;
+  while (made < most && !over) {
     co_await self->runtime.sleep(static_cast<microseconds>(self->choice.token_milliseconds * 1000));
-    if (out->closed()) co_return;
-    auto next = token_after(tokens);
-    tokens.push_back(next.id);
+    if (out->closed()) co_return std::nullopt;
+    auto next = token_after(*tokens);
+    tokens->push_back(next.id);
     ++made;
-    bool over = next.last || made == most;
+    over = next.last || made == most;
     json choice{{"index", 0}, {"text", next.text}, {"token_ids", {next.id}}, {"finish_reason", nullptr}};
     if (over) choice["finish_reason"] = next.last ? "stop" : "length";
     out->piece("data: " + json{{"choices", {choice}}}.dump() + "\n\n");
-    if (over) break;
   }
-  for (auto& hash : prefix::block_hashes(identity, tokens)) self->hold(hash);
-  usage["completion_tokens"] = made;
-  out->piece(
-      "data: " + json{{"choices", json::array()}, {"usage", usage}, {"kv_transfer_params", report}}.dump() +
-      "\n\n");
+  co_return made;
+}
+
+// The last events of a completion: what it used and what was moved for it.
+static void finish_completion(const gateway::writer& out, const json& usage, const pulled& moved) {
+  json report{{"blocks_asked", moved.asked},
+              {"blocks_found", moved.found},
+              {"bytes_moved", moved.bytes},
+              {"pull_failed", moved.failed}};
+  json last{{"choices", json::array()}, {"usage", usage}, {"kv_transfer_params", report}};
+  out->piece("data: " + last.dump() + "\n\n");
   out->piece("data: [DONE]\n\n");
   out->finish();
 }
 
+task<> node::state::complete(runtime::inbound_request request, json body, gateway::writer out) {
+  auto self = shared_from_this();
+  model_turn turn;
+  turn.arrived = self->runtime.now();
+  if (self->draining) {
+    gateway::reply_json(out, 503, {{"error", "draining"}, {"ran", "no"}});
+    co_return;
+  }
+  turn.request = request;
+  turn.out = out;
+  std::vector<std::int64_t> prompt = body.value("prompt", std::vector<std::int64_t>());
+  turn.transfer = body.value("kv_transfer_params", json::object());
+  auto identity = self->identity_of(turn.transfer.value("cache_identity", json::object()));
+  turn.hashes = prefix::block_hashes(identity, prompt);
+  std::string request_id = body.value("request_id", "");
+  turn.seen = run{"turn", identity.program, request_id, "", prompt, {}, {}, {}, sent_of(request)};
+  if (self->watcher) self->watcher(turn.seen);
+  co_await self->take_place();
+  // However this turn ends, its place is given back.
+  std::shared_ptr<void> place(nullptr, [self](void*) { self->leave_place(); });
+  auto moved = co_await self->borrow(turn);
+  std::size_t held = self->leading(turn.hashes);
+  self->tell_hit(turn, held);
+  auto cached_tokens = static_cast<std::int64_t>(held) * self->choice.block_tokens;
+  co_await self->prefill(static_cast<std::int64_t>(prompt.size()), cached_tokens);
+  for (auto& hash : turn.hashes) self->hold(hash);
+  out->start(200, {{"Content-Type", "text/event-stream"}});
+  auto tokens = std::make_shared<std::vector<std::int64_t>>(prompt);
+  auto made = co_await self->decode(out, tokens, body.value("max_tokens", std::int64_t{16}));
+  if (!made) co_return;
+  for (auto& hash : prefix::block_hashes(identity, *tokens)) self->hold(hash);
+  json usage{{"prompt_tokens", prompt.size()},
+             {"prompt_tokens_details", {{"cached_tokens", cached_tokens}}},
+             {"completion_tokens", *made}};
+  finish_completion(out, usage, moved);
+}
+
 }  // namespace herontally::simengine
--- a/src/simengine/node_state.h
+++ b/src/simengine/node_state.h
@@ -18,6 +18,24 @@
   bool failed = false;
 };
 
+// What a lender has written so far of the blocks that were asked for.
+struct block_transfer {
+  std::vector<std::string> wanted;
+  pulled result;
+  std::string buffer;  // the beginning of a line
+  bool whole = false;  // the lender's last line has come
+};
+
+// One completion at a model engine.
+struct model_turn {
+  runtime::inbound_request request;
+  gateway::writer out;
+  microseconds arrived = 0;
+  json transfer;                    // its kv_transfer_params
+  std::vector<std::string> hashes;  // of the prompt's whole blocks
+  run seen;                         // what the watcher was told when it came
+};
+
 struct node::state : std::enable_shared_from_this<node::state> {
   runtime::handle runtime;
   options choice;
@@ -48,7 +66,19 @@
   std::size_t leading(const std::vector<std::string>& hashes);
   task<> take_place();
   void leave_place();
-  task<pulled> pull(json transfer, std::vector<std::string> hashes, microseconds arrived);
+  std::size_t block_bytes() const;
+  prefix::identity identity_of(const json& cache) const;
+  task<pulled> borrow(model_turn turn);
+  task<pulled> pull(json parameters, std::vector<std::string> hashes, microseconds arrived);
+  bool take_block(block_transfer& transfer, const json& line);
+  void take_bytes(block_transfer& transfer, const std::string& bytes);
+  void take_event(block_transfer& transfer, const std::optional<runtime::http_event>& event);
+  void count_pull(const pulled& result) const;
+  void tell_hit(const model_turn& turn, std::size_t held) const;
+  task<> prefill(std::int64_t prompt_tokens, std::int64_t cached_tokens);
+  task<std::optional<std::int64_t>> decode(gateway::writer out,
+                                           std::shared_ptr<std::vector<std::int64_t>> tokens,
+                                           std::int64_t most);
   task<> complete(runtime::inbound_request incoming, json body, gateway::writer out);
   task<> lend(json body, gateway::writer out);
   // Counts this piece of work in until the result is let go.
@@ -62,6 +92,8 @@
   std::string metrics();
 };
 
+// How long a turn may wait for blocks, counted from its arrival.
+microseconds pull_timeout_of(const json& transfer);
 microseconds sent_of(const runtime::inbound_request& incoming);
 
 }  // namespace herontally::simengine
