--- a/src/gateway/plan.cc
+++ b/src/gateway/plan.cc
@@ -19,7 +19,7 @@
     each.weights = row.weights;
     each.live = row.listed && row.answers;
     each.draining = row.leaving || row.draining;
-    each.evacuated = around.state.evacuated_zones.count(row.zone) > 0;
+    each.evacuated = around.state.evacuated_zones.contains(row.zone);
     each.reported = row.queue + row.running;
     each.queue = row.queue;
     each.unseen = row.unseen;
--- a/src/hsim/faults.cc
+++ b/src/hsim/faults.cc
@@ -78,7 +78,7 @@
     self.w().wake(name);
     machine.disk.full = machine.disk.failing = false;
     machine.disk.sync_time = 300;
-    if (!self.gone.count(name) && !self.target.role_of(name).empty()) self.target.boot(name);
+    if (!self.gone.contains(name) && !self.target.role_of(name).empty()) self.target.boot(name);
   }
   for (auto& name : self.target.of_role("engine")) self.target.misbehave(name, "well");
 }
--- a/src/hsim/faults_aimed.cc
+++ b/src/hsim/faults_aimed.cc
@@ -51,7 +51,7 @@
   if (how == 2) {
     // It comes and goes, some of the times while an engine is leaving.
     for (int each = 0; each < 6; ++each)
-      later(each * 700 * rt::millisecond,
+      later(microseconds{each} * 700 * rt::millisecond,
             [self = shared_from_this(), each] { self->target.upset_platform(each % 2 == 0, 400); });
     roll_engine();
   }
@@ -70,7 +70,7 @@
   tell("roll all engines, one after another");
   microseconds wait = 0;
   for (auto& name : target.of_role("engine")) {
-    if (gone.count(name)) continue;
+    if (gone.contains(name)) continue;
     gone.insert(name);
     later(wait, [self = shared_from_this(), name] {
       if (self->target.role_of(name).empty()) return;
@@ -104,7 +104,7 @@
     for (auto& name : names) {
       int version = way == 1 ? 0 : herontally::wire::protocol_version + (older ? -1 : 1);
       later(wait, [self = shared_from_this(), name, version] {
-        if (self->gone.count(name) || !self->w().find(name).up || self->w().find(name).frozen) return;
+        if (self->gone.contains(name) || !self->w().find(name).up || self->w().find(name).frozen) return;
         self->target.speak(name, version);
         self->target.warn(name);
         self->boot_later(name, 3200 * rt::millisecond);
@@ -152,7 +152,7 @@
                    : ": roll"));
   target.trap(stage, [self = shared_from_this(), how, wait](const std::string& engine) {
     self->later(wait, [self, how, engine] {
-      if (self->gone.count(engine) || self->target.role_of(engine).empty()) return;
+      if (self->gone.contains(engine) || self->target.role_of(engine).empty()) return;
       if (how == 0) self->w().kill(engine, disk_loss::all, true);
       if (how == 1) self->w().freeze(engine);
       if (how == 2) self->w().kill(engine, disk_loss::none);
@@ -175,7 +175,7 @@
     std::vector<std::string> names;
     for (auto* role : {"hcore", "hstore"})
       for (auto& name : self->target.of_role(role))
-        if (!self->gone.count(name)) names.push_back(name);
+        if (!self->gone.contains(name)) names.push_back(name);
     if (!all) names = {self->pick(names)};
     for (auto& name : names) {
       self->w().kill(name, disk_loss::unsynced, true);
--- a/src/hsim/faults_site.cc
+++ b/src/hsim/faults_site.cc
@@ -27,7 +27,7 @@
 
 void faults::state::roll_engine() {
   auto names = target.of_role("engine");
-  std::erase_if(names, [this](auto& name) { return !w().find(name).up || gone.count(name); });
+  std::erase_if(names, [this](auto& name) { return !w().find(name).up || gone.contains(name); });
   auto name = pick(names);
   if (name.empty()) return;
   tell("roll " + name);
@@ -43,7 +43,7 @@
   target.callers().spawn(target.apply_until_done());
   microseconds wait = 0;
   for (auto& name : target.of_role("engine")) {
-    if (name.rfind("model", 0) != 0 || gone.count(name)) continue;
+    if (name.rfind("model", 0) != 0 || gone.contains(name)) continue;
     gone.insert(name);
     later(wait, [self = shared_from_this(), name, weights] { self->target.roll_engine(name, weights); });
     wait += 300 * rt::millisecond;
@@ -114,7 +114,7 @@
 
 void faults::state::upset_disk() {
   auto name = pick(target.of_role(w().draw(3) ? "hstore" : "hcore"));
-  if (gone.count(name)) return;
+  if (gone.contains(name)) return;
   auto how = w().draw(3);
   tell("disk of " + name + (how == 0 ? " slow" : how == 1 ? " full" : " failing"));
   auto& disk = w().find(name).disk;
--- a/src/hsim/faults_state.h
+++ b/src/hsim/faults_state.h
@@ -32,18 +32,18 @@
   }
   std::string pick_node() {
     auto names = target.of_role(pick({"hcore", "hstore", "hagent", "hproxy", "engine"}));
-    std::erase_if(names, [this](auto& name) { return gone.count(name) || !w().find(name).up; });
+    std::erase_if(names, [this](auto& name) { return gone.contains(name) || !w().find(name).up; });
     return pick(names);
   }
   void boot_later(const std::string& name, microseconds delay) {
     later(delay, [self = shared_from_this(), name] {
-      if (!self->gone.count(name) && !self->target.role_of(name).empty()) self->target.boot(name);
+      if (!self->gone.contains(name) && !self->target.role_of(name).empty()) self->target.boot(name);
     });
   }
   std::vector<std::string> in_zone(const std::string& zone) {
     std::vector<std::string> names;
     for (auto& name : w().names())
-      if (w().find(name).zone == zone && !gone.count(name) && !target.role_of(name).empty())
+      if (w().find(name).zone == zone && !gone.contains(name) && !target.role_of(name).empty())
         names.push_back(name);
     return names;
   }
@@ -51,7 +51,7 @@
     std::vector<std::string> names;
     for (auto* role : {"hcore", "hstore", "hagent", "hproxy"})
       for (auto& name : target.of_role(role))
-        if (!gone.count(name)) names.push_back(name);
+        if (!gone.contains(name)) names.push_back(name);
     return names;
   }
 
--- a/src/hsim/main.cc
+++ b/src/hsim/main.cc
@@ -147,8 +147,9 @@
     ++failed;
     print_violations(choice, report);
   }
+  auto runs = seeds.last - seeds.first + 1;
   printf("%llu seeds, %lld with broken rules; %lld turns complete, %lld calls, %.0f bytes of cache moved\n",
-         static_cast<unsigned long long>(seeds.last - seeds.first + 1), static_cast<long long>(failed),
+         static_cast<unsigned long long>(runs), static_cast<long long>(failed),
          static_cast<long long>(complete), static_cast<long long>(calls), moved);
   return failed ? 1 : 0;
 }
--- a/src/hsim/oracle.cc
+++ b/src/hsim/oracle.cc
@@ -41,8 +41,8 @@
   facts.born = state_->where.now();
   state_->engines[facts.name] = facts;
 }
-void oracle::budget(const std::string& kind, std::int64_t amount, std::int64_t turn_tokens) {
-  state_->budgets[kind] = {amount, turn_tokens};
+void oracle::budget(const std::string& program_kind, std::int64_t tokens, std::int64_t turn_tokens) {
+  state_->budgets[program_kind] = {tokens, turn_tokens};
 }
 void oracle::offer(offered_state next) {
   auto& known = state_->offered[next.marker];
@@ -111,7 +111,7 @@
   if (seen.status != 0 && seen.status != 200) ++self.refused;
   if (seen.ran == "no" && !seen.request_id.empty()) {
     self.never_run.insert(seen.request_id);
-    if (self.ran.count(seen.request_id))
+    if (self.ran.contains(seen.request_id))
       self.fail("not run", "request " + seen.request_id + " was said not to have run, but had");
   }
   if (seen.status == 200) self.check_text(seen);
--- a/src/hsim/probes.cc
+++ b/src/hsim/probes.cc
@@ -94,7 +94,7 @@
   std::vector<std::string> all, disks;
   for (auto* role : {"hcore", "hstore", "hagent", "hproxy", "engine", "platform"})
     for (auto& name : place.of_role(role)) {
-      if (!where.find(name).up && gone.count(name)) continue;
+      if (!where.find(name).up && gone.contains(name)) continue;
       all.push_back(name);
       if (role == std::string("hcore") || role == std::string("hstore")) disks.push_back(name);
     }
--- a/src/hsim/site_engines.cc
+++ b/src/hsim/site_engines.cc
@@ -83,7 +83,7 @@
 
 void site::misbehave(const std::string& engine, const std::string& how) {
   auto& machine = state_->where.find(engine);
-  if (machine.up && state_->places.count(engine))
+  if (machine.up && state_->places.contains(engine))
     std::any_cast<std::shared_ptr<ht::simengine::node>>(machine.node)->behave(how);
 }
 
--- a/src/hsim/world_http.cc
+++ b/src/hsim/world_http.cc
@@ -53,7 +53,7 @@
   auto& place = *world->machines.at(exchange->server);
   // A frozen machine's kernel still takes the connection.
   bool taken = place.up && place.life == exchange->server_life && place.frozen &&
-               !world->cuts.count({exchange->client, exchange->server});
+               !world->cuts.contains({exchange->client, exchange->server});
   if (!taken) fail_unsent(*world, exchange);
 }
 
--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -27,7 +27,7 @@
     if (auto here = weak.lock()) here->schedule(0, to, to_life, work);
   };
   // TCP holds on to what it can't deliver and delivers it late.
-  if (cuts.count({from, to})) {
+  if (cuts.contains({from, to})) {
     held[{from, to}].push_back(arrive);
     return;
   }
--- a/src/htrace/main.cc
+++ b/src/htrace/main.cc
@@ -118,7 +118,7 @@
   for (auto& node : nodes) {
     wire::trace_ask question{0};
     std::string address = node.who.role == "hproxy" ? node.who.http : node.who.inner;
-    auto result = co_await port.ask(address, std::move(question), 800 * millisecond);
+    auto result = co_await port.ask(address, question, 800 * millisecond);
     auto* receipt = std::get_if<wire::trace_receipt>(&result);
     node.answered = receipt != nullptr;
     if (receipt) node.receipt = *receipt;
--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -84,7 +84,7 @@
     std::string plain = name.substr(0, name.find('{'));
     // One TYPE line for each family, before its first sample.
     if (plain != family)
-      text += "# TYPE " + plain + (state_->counted.count(name) ? " counter\n" : " gauge\n");
+      text += "# TYPE " + plain + (state_->counted.contains(name) ? " counter\n" : " gauge\n");
     family = plain;
     char number[40];
     snprintf(number, sizeof number, " %.17g\n", value);
--- a/src/runtime/real_answer.cc
+++ b/src/runtime/real_answer.cc
@@ -62,7 +62,7 @@
   answer.closing = (parser->flags & F_CONNECTION_CLOSE) != 0;
   answer.head.status = static_cast<int>(parser->status_code);
   answer.delimited =
-      answer.head.headers.count("content-length") || answer.head.headers.count("transfer-encoding");
+      answer.head.headers.contains("content-length") || answer.head.headers.contains("transfer-encoding");
   connection->idle_limit = idle_limit_of(answer.head);
   auto found = connection->part->requests.find(connection->running);
   if (found == connection->part->requests.end()) return -1;
@@ -172,7 +172,7 @@
     if (lower == "host")
       host = value;
     else
-      bytes += name + ": " + value + "\r\n";
+      bytes.append(name).append(": ").append(value).append("\r\n");
   }
   bytes += "Host: " + host + "\r\n";
   if (!request.pooled) bytes += "Connection: close\r\n";
--- a/src/runtime/real_channels.cc
+++ b/src/runtime/real_channels.cc
@@ -131,10 +131,10 @@
   std::uint64_t number = self->number;
   ++self->reads;
   evbuffer* input = bufferevent_get_input(stream);
-  while (part->channels.count(number) && evbuffer_get_length(input) >= frame_head) {
+  while (part->channels.contains(number) && evbuffer_get_length(input) >= frame_head) {
     std::size_t before = evbuffer_get_length(input);
     if (!take_frame(self, input)) return close_channel(part, number, channel_error::closed);
-    if (!part->channels.count(number) || evbuffer_get_length(input) == before) return;
+    if (!part->channels.contains(number) || evbuffer_get_length(input) == before) return;
   }
 }
 
@@ -228,7 +228,7 @@
     std::uint64_t number = peer->number;
     std::uint64_t timer = here->after(timeout, [weak, number, exchange] {
       auto still = weak.lock();
-      if (!still || !still->channels.count(number)) return;
+      if (!still || !still->channels.contains(number)) return;
       auto& calls = still->channels[number]->calls;
       auto found = calls.find(exchange);
       if (found == calls.end()) return;
--- a/src/runtime/real_http_server.cc
+++ b/src/runtime/real_http_server.cc
@@ -111,7 +111,7 @@
   std::weak_ptr<http_server_part> weak = part;
   table.http_serve = [weak](std::string address, http_handler handler) {
     auto here = weak.lock();
-    if (!here || here->servers.count(address)) return false;
+    if (!here || here->servers.contains(address)) return false;
     auto bound = bind_server(here.get(), address, std::move(handler));
     if (!bound) return false;
     here->servers[address] = std::move(bound);
@@ -119,7 +119,7 @@
   };
   table.http_stop_listening = [weak](std::string address) {
     auto here = weak.lock();
-    if (!here || !here->servers.count(address)) return;
+    if (!here || !here->servers.contains(address)) return;
     auto bound = std::move(here->servers[address]);
     here->servers.erase(address);
     evhttp_del_accept_socket(bound->server, bound->listener);
--- a/src/runtime/real_pool.cc
+++ b/src/runtime/real_pool.cc
@@ -87,7 +87,7 @@
   std::weak_ptr<http_client_part> weak = connection->part->weak_from_this();
   connection->connect_timer = connection->part->after(timeout, [weak, number = connection->number] {
     auto part = weak.lock();
-    if (!part || !part->connections.count(number)) return;
+    if (!part || !part->connections.contains(number)) return;
     auto* late = part->connections[number].get();
     late->connect_timer = 0;
     fail_request(late, false);
--- a/src/runtime/real_server_connection.cc
+++ b/src/runtime/real_server_connection.cc
@@ -34,7 +34,8 @@
   }
   if (!(what & EV_TIMEOUT) && size < 0 && (errno == EAGAIN || errno == EINTR)) {
     event_add(owned->alarm, &longest_linger);
-    owned.release();
+    // The event's next call owns it.
+    static_cast<void>(owned.release());
     return;
   }
   event_free(owned->alarm);
@@ -49,7 +50,8 @@
   auto owned = std::make_unique<lingering>(lingering{copy});
   owned->alarm = event_new(base, copy, EV_READ, drain, owned.get());
   event_add(owned->alarm, &longest_linger);
-  owned.release();
+  // `drain` owns it from here on.
+  static_cast<void>(owned.release());
 }
 
 void tell_gone(evutil_socket_t, short, void* raw) {
@@ -64,7 +66,9 @@
   if (!exchange->request || std::exchange(exchange->gone, true) || !exchange->on_gone) return;
   timeval at_once{0, 0};
   auto owned = std::make_unique<std::shared_ptr<server_exchange>>(exchange);
-  if (event_base_once(base, -1, EV_TIMEOUT, tell_gone, owned.get(), &at_once) == 0) owned.release();
+  if (event_base_once(base, -1, EV_TIMEOUT, tell_gone, owned.get(), &at_once) != 0) return;
+  // `tell_gone` owns it from here on.
+  static_cast<void>(owned.release());
 }
 
 bool ended(int descriptor) {
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -79,7 +79,7 @@
 
 std::size_t node::state::leading(const std::vector<std::string>& hashes) {
   std::size_t count = 0;
-  while (count < hashes.size() && blocks.count(hashes[count])) ++count;
+  while (count < hashes.size() && blocks.contains(hashes[count])) ++count;
   return count;
 }
 
@@ -151,7 +151,7 @@
 // running a call twice visible.
 task<> node::state::call(runtime::inbound_request incoming, gateway::writer out) {
   auto self = shared_from_this();
-  std::string key = incoming.headers.count("idempotency-key") ? incoming.headers["idempotency-key"] : "";
+  std::string key = incoming.headers.contains("idempotency-key") ? incoming.headers["idempotency-key"] : "";
   auto flown = self->take_off("call", incoming, out);
   self->tell(incoming.method == "GET" ? "arrive-ask" : "arrive-call", incoming, key, "call");
   if (incoming.method == "GET") {
--- a/src/simengine/node_state.h
+++ b/src/simengine/node_state.h
@@ -1,6 +1,7 @@
 // Internal to simengine.
 #pragma once
 #include <list>
+#include <set>
 
 #include "gateway/http.h"
 #include "simengine/node.h"
@@ -79,7 +80,7 @@
   task<std::optional<std::int64_t>> decode(gateway::writer out,
                                            std::shared_ptr<std::vector<std::int64_t>> tokens,
                                            std::int64_t most);
-  task<> complete(runtime::inbound_request incoming, json body, gateway::writer out);
+  task<> complete(runtime::inbound_request request, json body, gateway::writer out);
   task<> lend(json body, gateway::writer out);
   // Counts this piece of work in until the result is let go.
   std::shared_ptr<void> take_off(const std::string& kind, const runtime::inbound_request& incoming,
--- a/src/simengine/transfer.cc
+++ b/src/simengine/transfer.cc
@@ -32,14 +32,12 @@
 }
 
 void node::state::take_event(block_transfer& transfer, const std::optional<runtime::http_event>& event) {
+  auto* piece = event ? std::get_if<runtime::http_piece>(&*event) : nullptr;
+  if (piece) return take_bytes(transfer, piece->bytes);
   auto* head = event ? std::get_if<runtime::http_head>(&*event) : nullptr;
-  if (!event || std::holds_alternative<runtime::http_failure>(*event) || (head && head->status != 200)) {
-    transfer.result.failed = true;
-  } else if (auto* piece = std::get_if<runtime::http_piece>(&*event)) {
-    take_bytes(transfer, piece->bytes);
-  } else if (std::holds_alternative<runtime::http_end>(*event) && !transfer.whole) {
-    transfer.result.failed = true;
-  }
+  bool begun = head && head->status == 200;
+  bool complete = transfer.whole && event && std::holds_alternative<runtime::http_end>(*event);
+  if (!begun && !complete) transfer.result.failed = true;
 }
 
 void node::state::count_pull(const pulled& result) const {
@@ -60,7 +58,7 @@
   // Hashes that aren't this prompt's own would bring in somebody else's history.
   std::set<std::string> own(hashes.begin(), hashes.end());
   for (auto& hash : transfer.wanted)
-    if (!own.count(hash)) co_return transfer.result;
+    if (!own.contains(hash)) co_return transfer.result;
   runtime::http_request request;
   request.method = "POST";
   request.path = "/v1/kv/blocks";
