--- a/src/htrace/main.cc
+++ b/src/htrace/main.cc
@@ -118,7 +118,7 @@
   for (auto& node : nodes) {
     wire::trace_ask question{0};
     std::string address = node.who.role == "hproxy" ? node.who.http : node.who.inner;
-    auto result = co_await port.ask(address, std::move(question), 800 * millisecond);
+    auto result = co_await port.ask(address, question, 800 * millisecond);
     auto* receipt = std::get_if<wire::trace_receipt>(&result);
     node.answered = receipt != nullptr;
     if (receipt) node.receipt = *receipt;
@@ -131,8 +131,8 @@
   co_return print(nodes, revision, as_json);
 }
 
-int main(int count, char** words) {
-  auto rest = settings::parse_flags(count, words, usage_text);
+int main(int count, char** arguments) {
+  auto rest = settings::parse_flags(count, arguments, usage_text);
   if (!rest.empty()) settings::end_with("htrace", {rest[0], "is not expected"});
   std::vector<std::string> seeds;
   std::string text = absl::GetFlag(FLAGS_seeds);
