Keep large values of a store on disk, and fold and recover in pieces

Cause: a store kept every record in one map, a fold packed all of them once more as one string (and its checksum over two further copies), and recovery read whole files and took them apart in memory. A store process of 58 MB was killed when its records came near half of that.

Change: memory holds an index (place, length, checksum, fingerprint and one number of the owner's choice for each record) and the values of cells. Contents over 64 bytes are read from slot or log when they are asked for. A fold knows its checksum beforehand, from those of the values, and writes pieces of 64 KB; recovery reads through a window of that size. A value without its checksum is reported and counts as absent, in the sums as well, so that repair brings it back; the next commit leaves the damaged place behind. A disk that fails to read for a time damages nothing.

--- a/src/disk/format.cc
+++ b/src/disk/format.cc
@@ -8,147 +8,133 @@
 namespace {
 constexpr std::uint32_t batch_mark = 0x4c425448;  // differs from the slot's, so neither is read as the other
 constexpr std::uint32_t slot_mark = 0x54534c48;
-constexpr std::size_t batch_head = 4 + 8 + 8 + 4 + 4;
-constexpr std::size_t slot_head = 4 + 8 + 8 + 4;
+constexpr std::size_t flag_bytes = 1, size_bytes = 4;
 
 template <class T>
 void put(std::string& out, T number) {
   out.append(reinterpret_cast<const char*>(&number), sizeof number);
 }
 template <class T>
-T get(const std::string& bytes, std::size_t position) {
+T get(std::string_view bytes, std::size_t position) {
   T number;
   memcpy(&number, bytes.data() + position, sizeof number);
   return number;
 }
-std::uint32_t checksum(const std::string& text) {
+
+// The part of a batch's head that its checksum covers.
+std::string covered_part(const batch_head& head) {
+  std::string covered;
+  put(covered, head.generation);
+  put(covered, head.sequence);
+  put(covered, head.payload_bytes);
+  return covered;
+}
+}  // namespace
+
+std::uint32_t checksum(std::string_view bytes, std::uint32_t before) {
   return static_cast<std::uint32_t>(
-      crc32(0, reinterpret_cast<const Bytef*>(text.data()), static_cast<uInt>(text.size())));
+      crc32(before, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
+}
+
+std::uint32_t joined_checksum(std::uint32_t first, std::uint32_t second, std::size_t second_bytes) {
+  return static_cast<std::uint32_t>(crc32_combine(first, second, static_cast<z_off_t>(second_bytes)));
 }
 
-void put_change(std::string& out, const std::string& key, const std::optional<std::string>& value) {
-  out.push_back(value ? 1 : 0);
+std::size_t change_head_bytes(std::string_view key) {
+  return flag_bytes + size_bytes + key.size() + size_bytes;
+}
+
+std::string pack_change_head(std::string_view key, std::optional<std::size_t> value_bytes) {
+  std::string out;
+  out.push_back(value_bytes ? 1 : 0);
   put(out, static_cast<std::uint32_t>(key.size()));
   out += key;
-  if (!value) return;
-  put(out, static_cast<std::uint32_t>(value->size()));
-  out += *value;
+  if (value_bytes) put(out, static_cast<std::uint32_t>(*value_bytes));
+  return out;
 }
 
-std::optional<std::string> take_text(const std::string& bytes, std::size_t& position) {
-  if (bytes.size() - position < 4) return std::nullopt;
-  auto size = get<std::uint32_t>(bytes, position);
-  position += 4;
-  if (bytes.size() - position < size) return std::nullopt;
-  std::string text = bytes.substr(position, size);
-  position += size;
-  return text;
+change_size size_of_change(std::string_view begin) {
+  std::size_t least = flag_bytes + size_bytes;
+  if (begin.size() < least) return {least, false};
+  std::size_t key_bytes = get<std::uint32_t>(begin, flag_bytes);
+  least += key_bytes;
+  if (begin[0] == 0) return {least, true};
+  least += size_bytes;
+  if (begin.size() < least) return {least, false};
+  return {least + get<std::uint32_t>(begin, least - size_bytes), true};
 }
 
-std::optional<std::vector<change>> take_changes(const std::string& bytes) {
-  std::vector<change> changes;
-  std::size_t position = 0;
-  while (position < bytes.size()) {
-    bool present = bytes[position++] != 0;
-    auto key = take_text(bytes, position);
-    if (!key) return std::nullopt;
-    change entry{*key, std::nullopt};
-    if (present) {
-      entry.value = take_text(bytes, position);
-      if (!entry.value) return std::nullopt;
-    }
-    changes.push_back(std::move(entry));
-  }
-  return changes;
+std::optional<change_view> read_change(std::string_view bytes) {
+  auto size = size_of_change(bytes);
+  if (!size.exact || bytes.size() < size.bytes) return std::nullopt;
+  change_view found;
+  found.bytes = size.bytes;
+  std::size_t key_bytes = get<std::uint32_t>(bytes, flag_bytes);
+  found.key = bytes.substr(flag_bytes + size_bytes, key_bytes);
+  if (bytes[0] == 0) return found;
+  found.value_offset = change_head_bytes(found.key);
+  found.value = bytes.substr(found.value_offset, size.bytes - found.value_offset);
+  return found;
 }
 
-// A whole batch at this position, and where it ends.
-std::optional<std::pair<batch, std::size_t>> batch_at(const std::string& bytes, std::size_t position) {
-  if (bytes.size() - position < batch_head || get<std::uint32_t>(bytes, position) != batch_mark)
-    return std::nullopt;
-  batch found;
-  found.generation = get<std::uint64_t>(bytes, position + 4);
-  found.sequence = get<std::uint64_t>(bytes, position + 12);
-  auto length = get<std::uint32_t>(bytes, position + 20);
-  auto expected = get<std::uint32_t>(bytes, position + 24);
-  if (bytes.size() - position - batch_head < length) return std::nullopt;
-  std::string covered = bytes.substr(position + 4, 20) + bytes.substr(position + batch_head, length);
-  if (checksum(covered) != expected) return std::nullopt;
-  auto changes = take_changes(bytes.substr(position + batch_head, length));
-  if (!changes) return std::nullopt;
-  found.changes = std::move(*changes);
-  return std::make_pair(std::move(found), position + batch_head + length);
+bool batch_head::covers(std::string_view payload) const {
+  return disk::checksum(payload, disk::checksum(covered_part(*this))) == checksum;
 }
-}  // namespace
 
-std::string pack_batch(const batch& content) {
+std::string pack_batch(std::uint64_t generation, std::uint64_t sequence, const std::vector<change>& changes) {
+  std::size_t payload_bytes = 0;
+  for (auto& entry : changes)
+    payload_bytes += change_head_bytes(entry.key) + (entry.value ? entry.value->size() : 0);
   std::string payload;
-  for (auto& entry : content.changes) put_change(payload, entry.key, entry.value);
-  std::string covered;
-  put(covered, content.generation);
-  put(covered, content.sequence);
-  put(covered, static_cast<std::uint32_t>(payload.size()));
+  payload.reserve(batch_head_bytes + payload_bytes);
+  for (auto& entry : changes) {
+    auto value_bytes = entry.value ? std::optional(entry.value->size()) : std::nullopt;
+    payload += pack_change_head(entry.key, value_bytes);
+    if (entry.value) payload += *entry.value;
+  }
+  batch_head head{generation, sequence, static_cast<std::uint32_t>(payload.size()), 0};
+  std::string covered = covered_part(head);
   std::string out;
   put(out, batch_mark);
   out += covered;
-  put(out, checksum(covered + payload));
-  out += payload;
-  return out;
+  put(out, checksum(payload, checksum(covered)));
+  payload.insert(0, out);
+  return payload;
 }
 
-std::string pack_slot(std::uint64_t generation, const std::map<std::string, std::string>& records) {
-  std::string payload;
-  for (auto& [key, value] : records) put_change(payload, key, value);
+std::optional<batch_head> read_batch_head(std::string_view bytes) {
+  if (bytes.size() < batch_head_bytes || get<std::uint32_t>(bytes, 0) != batch_mark) return std::nullopt;
+  batch_head head;
+  head.generation = get<std::uint64_t>(bytes, 4);
+  head.sequence = get<std::uint64_t>(bytes, 12);
+  head.payload_bytes = get<std::uint32_t>(bytes, 20);
+  head.checksum = get<std::uint32_t>(bytes, 24);
+  return head;
+}
+
+std::uint32_t slot_head::seed() const {
   std::string covered;
   put(covered, generation);
-  put(covered, static_cast<std::uint64_t>(payload.size()));
+  put(covered, payload_bytes);
+  return disk::checksum(covered);
+}
+
+std::string pack_slot_head(const slot_head& head) {
   std::string out;
   put(out, slot_mark);
-  out += covered;
-  put(out, checksum(covered + payload));
-  out += payload;
+  put(out, head.generation);
+  put(out, head.payload_bytes);
+  put(out, head.checksum);
   return out;
 }
 
-std::optional<std::pair<std::uint64_t, std::map<std::string, std::string>>> unpack_slot(
-    const std::string& bytes) {
-  if (bytes.size() < slot_head || get<std::uint32_t>(bytes, 0) != slot_mark) return std::nullopt;
-  auto generation = get<std::uint64_t>(bytes, 4);
-  auto length = get<std::uint64_t>(bytes, 12);
-  if (bytes.size() - slot_head != length) return std::nullopt;
-  if (checksum(bytes.substr(4, 16) + bytes.substr(slot_head)) != get<std::uint32_t>(bytes, 20))
-    return std::nullopt;
-  auto changes = take_changes(bytes.substr(slot_head));
-  if (!changes) return std::nullopt;
-  std::map<std::string, std::string> records;
-  for (auto& entry : *changes) records[entry.key] = *entry.value;
-  return std::make_pair(generation, std::move(records));
-}
-
-log_reading read_log(const std::string& bytes, std::uint64_t generation) {
-  log_reading reading;
-  std::size_t position = 0;
-  std::uint64_t expected = 1;
-  bool gap = false;
-  while (position < bytes.size()) {
-    auto found = batch_at(bytes, position);
-    if (!found) {
-      // Bytes that can't be read are a torn tail only if no whole batch of this generation follows.
-      gap = true;
-      ++position;
-      continue;
-    }
-    position = found->second;
-    auto& content = found->first;
-    if (content.generation > reading.newest_generation) reading.newest_generation = content.generation;
-    // What the file's earlier use left behind doesn't count.
-    if (content.generation != generation) continue;
-    if (gap || content.sequence != expected) reading.corrupt = true;
-    ++expected;
-    reading.batches.push_back(std::move(content));
-  }
-  reading.torn = gap;
-  return reading;
+std::optional<slot_head> read_slot_head(std::string_view bytes) {
+  if (bytes.size() < slot_head_bytes || get<std::uint32_t>(bytes, 0) != slot_mark) return std::nullopt;
+  slot_head head;
+  head.generation = get<std::uint64_t>(bytes, 4);
+  head.payload_bytes = get<std::uint64_t>(bytes, 12);
+  head.checksum = get<std::uint32_t>(bytes, 20);
+  return head;
 }
 
 }  // namespace herontally::disk
--- a/src/disk/store.cc
+++ b/src/disk/store.cc
@@ -1,57 +1,21 @@
 #include "disk/store.h"
 
+#include "disk/fold.h"
 #include "disk/format.h"
+#include "disk/recovery.h"
+#include "disk/store_state.h"
 #include "runtime/breaks.h"
 
 namespace herontally::disk {
 
-struct store::state {
-  runtime::handle runtime;
-  options choice;
-  logging::journal journal;
-  std::map<std::string, std::string> records;
-  std::uint64_t generation = 0, sequence = 0;
-  int slot = 0;
-  std::int64_t live = 0, log = 0;
-  // Set when the log's end can't be trusted: the next commit folds into the other slot first.
-  bool must_fold = true;
-  std::vector<std::uint64_t> sums = std::vector<std::uint64_t>(ranges, 0);
-
-  state(runtime::handle handle, options given, logging::journal lines)
-      : runtime(std::move(handle)), choice(std::move(given)), journal(std::move(lines)) {}
-  std::string slot_file(int which) const { return choice.prefix + ".slot" + std::to_string(which); }
-  std::string log_file(int which) const { return choice.prefix + ".log" + std::to_string(which); }
-  // Adding and taking away are the same step.
-  void toggle(const std::string& key, const std::string& value) {
-    if (choice.fingerprint) sums[range_of(key)] ^= choice.fingerprint(key, value);
-  }
-  void forget_all() {
-    records.clear();
-    live = 0;
-    sums.assign(ranges, 0);
-  }
-  void apply(const change& entry) {
-    auto found = records.find(entry.key);
-    if (found != records.end()) {
-      toggle(found->first, found->second);
-      live -= static_cast<std::int64_t>(found->first.size() + found->second.size());
-      records.erase(found);
-    }
-    if (!entry.value) return;
-    live += static_cast<std::int64_t>(entry.key.size() + entry.value->size());
-    records[entry.key] = *entry.value;
-    toggle(entry.key, *entry.value);
-  }
-};
-
 store::store(runtime::handle runtime, options choice, logging::journal journal)
     : state_(std::make_unique<state>(std::move(runtime), std::move(choice), std::move(journal))) {}
 store::~store() = default;
 store::store(store&&) noexcept = default;
 
-const std::map<std::string, std::string>& store::records() const { return state_->records; }
-std::int64_t store::live_bytes() const { return state_->live; }
-const std::vector<std::uint64_t>& store::sums() const { return state_->sums; }
+std::size_t store::record_count() const { return state_->records.count(); }
+std::int64_t store::live_bytes() const { return state_->records.live_bytes(); }
+const std::vector<std::uint64_t>& store::sums() const { return state_->records.sums(); }
 std::size_t range_of(const std::string& key) {
   std::uint64_t hash = 1469598103934665603ull;
   for (unsigned char letter : key) hash = (hash ^ letter) * 1099511628211ull;
@@ -62,130 +26,184 @@
   // A fold writes everything once more beside the old slot, so less than half may be live;
   // the last part of that half is kept back for settling what was already begun.
   std::int64_t most = state_->choice.limit_bytes * (urgent ? 45 : 36) / 100;
-  return state_->live + static_cast<std::int64_t>(bytes) <= most;
+  return live_bytes() + static_cast<std::int64_t>(bytes) <= most;
 }
 
-std::optional<error> store::recover() {
-  auto* self = state_.get();
-  auto& disk = self->runtime.table().disk;
-  bool any_file = false;
-  std::optional<std::pair<std::uint64_t, std::map<std::string, std::string>>> best;
-  std::string logs[2];
-  for (int which = 0; which < 2; ++which) {
-    auto bytes = disk.read(self->slot_file(which));
-    if (auto* failed = std::get_if<runtime::disk_error>(&bytes)) {
-      if (*failed != runtime::disk_error::missing) return error::failed;
-    } else {
-      any_file = true;
-      auto slot = unpack_slot(std::get<std::string>(bytes));
-      if (slot && (!best || slot->first > best->first)) {
-        best = std::move(slot);
-        self->slot = which;
-      }
-    }
-    auto log = disk.read(self->log_file(which));
-    if (auto* text = std::get_if<std::string>(&log))
-      logs[which] = std::move(*text);
-    else if (std::get<runtime::disk_error>(log) != runtime::disk_error::missing)
-      return error::failed;
-  }
-  self->must_fold = true;
-  self->forget_all();
-  if (broken("recover")) best.reset();
-  if (!best) {
-    // Slots were written here once but none can be read: the first one is synced before any log, so
-    // a log with whole batches proves the loss of records that had been promised to last.
-    bool lost = read_log(logs[0], 0).newest_generation > 0 || read_log(logs[1], 0).newest_generation > 0;
-    if (any_file && lost) return error::corrupt;
-    self->generation = 0;
+std::optional<std::string> store::state::read(const std::string& key, const index_entry& entry) {
+  auto file = entry.in_log ? log_file(slot) : slot_file(slot);
+  auto found = disk().read_at(file, entry.offset, entry.value_bytes);
+  auto* value = std::get_if<std::string>(&found);
+  if (!value) {
+    journal.count("herontally_disk_read_failures_total");
     return std::nullopt;
   }
-  self->generation = best->first;
-  for (auto& [key, value] : best->second) self->apply({key, value});
+  if (value->size() == entry.value_bytes && checksum(*value) == entry.checksum) return std::move(*value);
+  journal.count("herontally_disk_damaged_records_total");
+  journal.error("a record's value can't be read any more", {{"file", file}, {"record", key}});
+  records.mark_damaged(key);
+  // The next commit leaves the damaged place behind.
+  must_fold = true;
+  return std::nullopt;
+}
+
+std::optional<std::string> store::read(const std::string& key) const {
+  auto* entry = state_->records.find(key);
+  if (!entry) return std::nullopt;
+  if (entry->in_memory) return entry->value;
+  return state_->read(key, *entry);
+}
+
+bool store::contains(const std::string& key) const { return state_->records.find(key) != nullptr; }
+
+bool store::has_place(const std::string& key) const { return state_->records.entries().count(key) > 0; }
+
+std::size_t store::value_bytes(const std::string& key) const {
+  auto* entry = state_->records.find(key);
+  return entry ? entry->value_bytes : 0;
+}
+
+void store::list_from(const std::string& first,
+                      const std::function<bool(const listed_record&)>& handle_record) const {
+  auto& entries = state_->records.entries();
+  for (auto place = entries.lower_bound(first); place != entries.end(); ++place) {
+    auto& entry = place->second;
+    if (entry.damaged) continue;
+    listed_record record{place->first, entry.in_memory ? &entry.value : nullptr, entry.value_bytes,
+                         entry.attribute, entry.range};
+    if (!handle_record(record)) return;
+  }
+}
+
+namespace {
+struct slot_place {
+  std::uint64_t generation = 0;
+  int which = 0;
+};
+
+// The slots that were begun, the newest first.
+std::variant<std::vector<slot_place>, error> begun_slots(const store::state& self, bool* any_file) {
+  std::vector<slot_place> found;
   for (int which = 0; which < 2; ++which) {
-    auto reading = read_log(logs[which], self->generation);
-    // A log of a newer generation was begun only after its slot had been synced.
-    if (reading.newest_generation > self->generation) return error::corrupt;
-    if (which != self->slot) continue;
-    if (reading.corrupt) return error::corrupt;
-    for (auto& content : reading.batches)
-      for (auto& entry : content.changes) self->apply(entry);
+    file_window file(self.disk(), self.slot_file(which));
+    auto failed = file.open();
+    if (failed == runtime::disk_error::missing) continue;
+    *any_file = true;
+    auto head = read_slot_head(file.at(0, slot_head_bytes));
+    if (failed || file.failed()) return error::failed;
+    if (head) found.push_back({head->generation, which});
   }
-  return std::nullopt;
+  if (found.size() == 2 && found[1].generation > found[0].generation) std::swap(found[0], found[1]);
+  return found;
 }
 
-static error from_disk(runtime::disk_error found) {
-  return found == runtime::disk_error::full ? error::full : error::failed;
+std::variant<log_reading, error> read_log_file(store::state& self, int which, bool apply) {
+  file_window file(self.disk(), self.log_file(which));
+  auto failed = file.open();
+  if (failed == runtime::disk_error::missing) return log_reading{};
+  if (failed) return error::failed;
+  auto reading = read_log(file, self.generation, apply ? &self.records : nullptr);
+  if (file.failed()) return error::failed;
+  return reading;
 }
+}  // namespace
 
-// Writes all records to the other slot; the caller owns the bucket meanwhile.
-static runtime::task<std::optional<error>> fold(runtime::handle runtime, std::string slot_file,
-                                                std::string log_file, std::string bytes) {
-  auto& disk = runtime.table().disk;
-  if (auto failed = disk.replace(slot_file, bytes)) co_return from_disk(*failed);
-  if (auto failed = co_await runtime.sync(slot_file)) co_return from_disk(*failed);
-  if (auto failed = disk.replace(log_file, "")) co_return from_disk(*failed);
-  if (auto failed = co_await runtime.sync(log_file)) co_return from_disk(*failed);
-  co_return std::nullopt;
+std::optional<error> store::recover() {
+  auto* self = state_.get();
+  self->must_fold = true;
+  bool any_file = false, loaded = false;
+  auto slots = begun_slots(*self, &any_file);
+  if (auto* failed = std::get_if<error>(&slots)) return *failed;
+  for (auto& place : std::get<std::vector<slot_place>>(slots)) {
+    self->records.clear();
+    file_window file(self->disk(), self->slot_file(place.which));
+    if (file.open()) return error::failed;
+    loaded = load_slot(file, self->records);
+    if (file.failed()) return error::failed;
+    self->slot = place.which;
+    self->generation = place.generation;
+    if (loaded) break;
+  }
+  if (broken("recover")) loaded = false;
+  if (!loaded) {
+    self->records.clear();
+    self->generation = 0;
+  }
+  for (int which = 0; which < 2; ++which) {
+    bool current = loaded && which == self->slot;
+    auto found = read_log_file(*self, which, current);
+    if (auto* failed = std::get_if<error>(&found)) return *failed;
+    auto& reading = std::get<log_reading>(found);
+    // A log of a newer generation was begun only after its slot had been synced. Without any slot a log with
+    // whole batches proves the loss of records that had been promised to last.
+    bool newer = reading.newest_generation > self->generation;
+    if (newer && (loaded || any_file)) return error::corrupt;
+    if (current && reading.corrupt) return error::corrupt;
+  }
+  return std::nullopt;
 }
 
 runtime::task<std::optional<error>> store::commit(std::vector<change> changes, bool urgent) {
   auto* self = state_.get();
-  auto& disk = self->runtime.table().disk;
   std::size_t bytes = 0;
   for (auto& entry : changes) bytes += entry.value ? entry.key.size() + entry.value->size() : 0;
   if (bytes > 0 && !has_room(bytes, urgent)) {
     self->journal.count("herontally_disk_full_total");
     co_return error::full;
   }
-  if (self->must_fold || self->log > self->choice.log_bytes_before_fold) {
-    int other = 1 - self->slot;
-    self->must_fold = true;
-    auto failed = co_await fold(self->runtime, self->slot_file(other), self->log_file(other),
-                                pack_slot(self->generation + 1, self->records));
+  if (self->must_fold || self->log_bytes > self->choice.log_bytes_before_fold) {
+    auto failed = co_await fold(self);
     if (failed) co_return failed;
-    self->generation += 1;
-    self->slot = other;
-    self->sequence = 0;
-    self->log = 0;
-    self->must_fold = false;
-    self->journal.count("herontally_disk_folds_total");
   }
-  batch content{self->generation, self->sequence + 1, changes};
-  std::string packed = pack_batch(content);
-  auto failed = disk.append(self->log_file(self->slot), packed);
+  std::string packed = pack_batch(self->generation, self->sequence + 1, changes);
+  std::string log_file = self->log_file(self->slot);
+  auto failed = self->disk().append(log_file, packed);
+  std::size_t packed_bytes = packed.size();
+  packed = std::string();
   auto begin = self->runtime.now();
-  if (!failed && !broken("sync")) failed = co_await self->runtime.sync(self->log_file(self->slot));
+  if (!failed && !broken("sync")) failed = co_await self->runtime.sync(log_file);
   self->journal.count("herontally_disk_syncs_total");
   self->journal.count("herontally_disk_sync_microseconds_total",
                       static_cast<double>(self->runtime.now() - begin));
   if (failed) {
     // What reached the disk is unknown now; the log must not be continued behind it.
     self->must_fold = true;
-    self->journal.warn("disk write failed", {{"file", self->log_file(self->slot)}});
+    self->journal.warn("disk write failed", {{"file", log_file}});
     co_return from_disk(*failed);
   }
+  self->apply_logged(changes, static_cast<std::uint64_t>(self->log_bytes));
   self->sequence += 1;
-  self->log += static_cast<std::int64_t>(packed.size());
-  for (auto& entry : changes) self->apply(entry);
+  self->log_bytes += static_cast<std::int64_t>(packed_bytes);
   co_return std::nullopt;
 }
 
+void store::state::apply_logged(const std::vector<change>& changes, std::uint64_t batch_offset) {
+  std::uint64_t offset = batch_offset + batch_head_bytes;
+  for (auto& entry : changes) {
+    std::size_t value_bytes = entry.value ? entry.value->size() : 0;
+    offset += pack_change_head(entry.key, entry.value ? std::optional(value_bytes) : std::nullopt).size();
+    if (entry.value)
+      records.put(entry.key, *entry.value, true, offset);
+    else
+      records.remove(entry.key);
+    offset += value_bytes;
+  }
+}
+
 runtime::task<std::optional<error>> store::wipe() {
   auto* self = state_.get();
-  auto& disk = self->runtime.table().disk;
+  // Nothing can be read from the files any more.
+  self->records.clear();
+  self->must_fold = true;
   for (int which = 0; which < 2; ++which) {
     for (auto& file : {self->log_file(which), self->slot_file(which)}) {
-      auto failed = disk.replace(file, "");
+      auto failed = self->disk().replace(file, "");
       if (!failed) failed = co_await self->runtime.sync(file);
       if (failed) co_return from_disk(*failed);
     }
   }
-  self->forget_all();
-  self->log = 0;
+  self->log_bytes = 0;
   self->generation = 0;
   self->sequence = 0;
-  self->must_fold = true;
   co_return std::nullopt;
 }
 
--- a/src/hsim/world_disk.cc
+++ b/src/hsim/world_disk.cc
@@ -23,12 +23,21 @@
     if (disk.full) return rt::disk_error::full;
     return std::nullopt;
   };
-  table.disk.read = [disk_of](const std::string& file) -> std::variant<std::string, rt::disk_error> {
+  table.disk.read_at = [disk_of](const std::string& file, std::uint64_t offset,
+                                 std::size_t length) -> std::variant<std::string, rt::disk_error> {
     auto* disk = disk_of();
     if (!disk || disk->failing) return rt::disk_error::failed;
     auto found = disk->files.find(file);
     if (found == disk->files.end()) return rt::disk_error::missing;
-    return found->second.current;
+    auto& bytes = found->second.current;
+    return offset < bytes.size() ? bytes.substr(offset, length) : std::string();
+  };
+  table.disk.size = [disk_of](const std::string& file) -> std::variant<std::uint64_t, rt::disk_error> {
+    auto* disk = disk_of();
+    if (!disk || disk->failing) return rt::disk_error::failed;
+    auto found = disk->files.find(file);
+    if (found == disk->files.end()) return rt::disk_error::missing;
+    return static_cast<std::uint64_t>(found->second.current.size());
   };
   table.disk.append = [disk_of, fault](const std::string& file,
                                        const std::string& bytes) -> std::optional<rt::disk_error> {
--- a/src/hstore/expiry.h
+++ b/src/hstore/expiry.h
@@ -13,4 +13,7 @@
 // and what a peer hands back meanwhile goes again with the next pass.
 runtime::task<> expire_programs_forever(reg::voter voter, runtime::handle runtime, logging::journal journal);
 
+// When a kept turn is due: what a voter keeps beside its records for the above.
+std::int64_t kept_until_attribute(const std::string& record, std::string_view bytes);
+
 }  // namespace herontally::hstore
--- a/src/hstore/expiry_programs.cc
+++ b/src/hstore/expiry_programs.cc
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "hstore/expiry.h"
 #include "ledger/program_head.h"
 
@@ -45,12 +47,10 @@
   const std::string prefix = std::string("c/") + ledger::turn_prefix;
   do {
     std::vector<std::string> overdue;
-    auto handle_record = [&](const std::string& record, const std::string& bytes) {
-      auto kept_until = ledger::kept_until_of(bytes);
-      if (kept_until && runtime.wall() > *kept_until + ledger::keep_margin)
-        overdue.push_back(record.substr(2));
+    auto handle_record = [&](const std::string& record, std::int64_t kept_until) {
+      if (runtime.wall() - ledger::keep_margin > kept_until) overdue.push_back(record.substr(2));
     };
-    after = voter.for_each_record(bucket, prefix, after, one_step, handle_record);
+    after = voter.for_each_attribute(bucket, prefix, after, one_step, handle_record);
     if (!overdue.empty()) {
       journal.count("herontally_turns_expired_total", static_cast<double>(overdue.size()));
       co_await voter.forget(std::move(overdue));
@@ -60,6 +60,12 @@
 }
 }  // namespace
 
+std::int64_t kept_until_attribute(const std::string& record, std::string_view bytes) {
+  const std::string prefix = std::string("c/") + ledger::turn_prefix;
+  constexpr std::int64_t never = std::numeric_limits<std::int64_t>::max();
+  return record.rfind(prefix, 0) == 0 ? ledger::kept_until_of(bytes).value_or(never) : never;
+}
+
 task<> expire_programs_forever(reg::voter voter, runtime::handle runtime, logging::journal journal) {
   while (true) {
     co_await runtime.sleep(5 * second + static_cast<runtime::microseconds>(runtime.draw(500 * millisecond)));
--- a/src/hstore/node.cc
+++ b/src/hstore/node.cc
@@ -26,6 +26,7 @@
     choice.group = "store";
     choice.buckets = 8;
     choice.limit_bytes = place.disk_megabytes << 20;
+    choice.attribute = kept_until_attribute;
     return choice;
   }
   state(runtime::handle handle, settings::settings given, logging::journal lines)
--- a/src/ledger/program_head.cc
+++ b/src/ledger/program_head.cc
@@ -59,7 +59,7 @@
   }
   return words;
 }
-nlohmann::json head_line(const std::string& text) {
+nlohmann::json head_line(std::string_view text) {
   return nlohmann::json::parse(
       text.begin(), text.begin() + static_cast<std::ptrdiff_t>(std::min(text.find('\n'), text.size())),
       nullptr, false);
@@ -154,7 +154,7 @@
   return line["previous"].get<std::string>();
 }
 
-std::optional<std::int64_t> kept_until_of(const std::string& text) {
+std::optional<std::int64_t> kept_until_of(std::string_view text) {
   auto line = head_line(text);
   if (!line.is_object() || !line.contains("kept_until") || !line["kept_until"].is_number_integer())
     return std::nullopt;
--- a/src/ledger/program_head.h
+++ b/src/ledger/program_head.h
@@ -38,6 +38,6 @@
 // The turn before, of the head line alone; empty: none.
 std::string previous_key_of(const std::string& text);
 // When the record may go; nothing if it is no turn's record.
-std::optional<std::int64_t> kept_until_of(const std::string& text);
+std::optional<std::int64_t> kept_until_of(std::string_view text);
 
 }  // namespace herontally::ledger
--- a/src/register/repair.cc
+++ b/src/register/repair.cc
@@ -56,34 +56,34 @@
     for (std::size_t position = 0; position < receipt->keys.size(); ++position)
       theirs[receipt->keys[position]] = receipt->ballots[position];
     std::string last = receipt->more ? receipt->keys.back() : std::string();
-    std::vector<std::pair<std::string, std::string>> missing_records;
-    for (auto& each : self->buckets) {
-      auto& records = each->store.records();
-      for (auto entry = records.upper_bound(after); entry != records.end(); ++entry) {
-        if (!last.empty() && entry->first > last) break;
-        if (entry->first[0] == '@') continue;
-        if (range >= 0 && static_cast<std::int64_t>(disk::range_of(entry->first)) != range) continue;
-        bool plain = entry->first[0] == 'c';
-        auto found = theirs.find(entry->first);
-        auto accepted = plain ? wire::ballot{} : cell::unpack(entry->second).accepted;
-        // What was only promised here is nothing to hand over.
-        if (!plain && accepted.counter == 0) continue;
-        if (found == theirs.end() || found->second < accepted) missing_records.push_back(*entry);
-      }
-    }
+    // The keys alone: the bytes are read when they are handed over.
+    std::vector<std::string> missing_records;
+    auto compare = [&](const disk::listed_record& record) {
+      if (!last.empty() && record.key > last) return false;
+      if (record.key[0] == '@') return true;
+      if (range >= 0 && static_cast<std::int64_t>(record.range) != range) return true;
+      auto accepted = accepted_ballot_of(record);
+      // What was only promised here is nothing to hand over.
+      if (record.key[0] != 'c' && accepted.counter == 0) return true;
+      auto found = theirs.find(record.key);
+      if (found == theirs.end() || found->second < accepted) missing_records.push_back(record.key);
+      return true;
+    };
+    for (auto& each : self->buckets) each->store.list_from(just_after(after), compare);
     missing += static_cast<std::int64_t>(missing_records.size());
     runtime::mailbox<bool> box(self->port.runtime());
-    auto give_one = [](wire::port port, voter_place peer, std::int64_t number, std::string record,
-                       std::string bytes, runtime::mailbox<bool> box) -> task<> {
-      bool taken = co_await give(port, peer, number, std::move(record), std::move(bytes));
+    auto give_one = [](std::shared_ptr<voter::state> self, voter_place peer, std::string record,
+                       runtime::mailbox<bool> box) -> task<> {
+      auto bytes = self->read(record);
+      bool taken = false;
+      if (bytes)
+        taken = co_await give(self->port, peer, self->current.number, std::move(record), std::move(*bytes));
       box.push(taken);
     };
     std::size_t begun = 0;
     for (std::size_t ended = 0; ended < missing_records.size(); ++ended) {
       for (; begun < missing_records.size() && begun < ended + handovers_at_once; ++begun)
-        self->port.runtime().spawn(give_one(self->port, peer, self->current.number,
-                                            missing_records[begun].first,
-                                            std::move(missing_records[begun].second), box));
+        self->port.runtime().spawn(give_one(self, peer, missing_records[begun], box));
       auto taken = co_await box.pop(-1);
       if (taken && *taken) self->port.journal().count("herontally_repair_handed_over_total");
     }
--- a/src/register/voter.cc
+++ b/src/register/voter.cc
@@ -9,13 +9,13 @@
 
 // Two voters agree on a record when they hold the same content, or accepted the same ballot. What was only
 // promised, and what is a voter's own, doesn't count.
-static std::uint64_t fingerprint_of(const std::string& key, const std::string& value) {
+static std::uint64_t fingerprint_of(const std::string& key, std::string_view value) {
   if (key[0] == '@') return 0;
   std::uint64_t hash = 1469598103934665603ull;
   auto mix = [&hash](std::uint64_t part) { hash = (hash ^ part) * 1099511628211ull ^ (hash >> 29); };
   for (unsigned char letter : key) mix(letter);
   if (key[0] == 'k') {
-    auto accepted = cell::unpack(value).accepted;
+    auto accepted = cell::unpack_ballots(value).accepted;
     if (accepted.counter == 0) return 0;
     mix(static_cast<std::uint64_t>(accepted.counter));
     mix(static_cast<std::uint64_t>(accepted.proposer));
@@ -23,6 +23,12 @@
   return hash;
 }
 
+// Contents make up most of the bytes and are read seldom; what is voted on has to be at hand.
+static bool stays_in_memory(const std::string& key, std::size_t bytes) {
+  constexpr std::size_t small = 64;
+  return key[0] != 'c' || bytes <= small;
+}
+
 voter::voter(wire::port port, voter_options choice)
     : state_(std::make_shared<state>(std::move(port), choice)) {
   for (int number = 0; number < choice.buckets; ++number) {
@@ -30,6 +36,8 @@
     options.prefix = choice.group + "-" + std::to_string(number);
     options.limit_bytes = choice.limit_bytes / choice.buckets;
     options.fingerprint = fingerprint_of;
+    options.attribute = choice.attribute;
+    options.in_memory = stays_in_memory;
     options.log_bytes_before_fold = std::max<std::int64_t>(1 << 20, options.limit_bytes / 16);
     auto runtime = state_->port.runtime();
     state_->buckets.push_back(
@@ -55,6 +63,11 @@
   return holder.read({}, record);
 }
 
+bool voter::state::holds(const std::string& record) const {
+  auto& holder = const_cast<state*>(this)->bucket_of(record);
+  return holder.holds({}, record);
+}
+
 task<bool> voter::state::begin_bucket(bucket* which, std::string identity) {
   auto failed = co_await which->store.wipe();
   if (failed) co_return false;
@@ -100,11 +113,10 @@
     auto fault = each->store.recover();
     if (fault == disk::error::failed) co_return voter_fault::failed;
     if (fault == disk::error::corrupt) corrupt = true;
-    auto found = each->store.records().find(identity_key);
-    identities.insert(found == each->store.records().end() ? "" : found->second);
-    auto seen = each->store.records().find(view_key);
-    if (seen == each->store.records().end()) continue;
-    auto stored = view_from(seen->second);
+    identities.insert(each->store.read(identity_key).value_or(""));
+    auto seen = each->store.read(view_key);
+    if (!seen) continue;
+    auto stored = view_from(*seen);
     if (stored.number > self->current.number) self->current = stored;
   }
   // A bucket without the others' identity was lost while they were kept: that is a loss, too. The one
@@ -120,13 +132,6 @@
   } else {
     self->id = *identities.begin();
   }
-  for (std::size_t number = 0; number < self->buckets.size(); ++number) {
-    auto& records = self->buckets[number]->store.records();
-    for (auto entry = records.lower_bound(turn_record_prefix); entry != records.end(); ++entry) {
-      if (entry->first.rfind(turn_record_prefix, 0) != 0) break;
-      self->turn_places[entry->first] = number;
-    }
-  }
   for (auto& each : self->buckets) self->port.runtime().spawn(self->own(each.get()));
   self->opened = true;
   self->serve();
@@ -148,13 +153,12 @@
 
 std::vector<std::string> voter::keys_with_prefix(const std::string& prefix) const {
   std::vector<std::string> found;
-  for (auto& each : state_->buckets) {
-    auto& records = each->store.records();
-    for (auto entry = records.lower_bound(prefix); entry != records.end(); ++entry) {
-      if (entry->first.compare(0, prefix.size(), prefix) != 0) break;
-      found.push_back(entry->first);
-    }
-  }
+  auto take = [&found, &prefix](const disk::listed_record& record) {
+    if (record.key.compare(0, prefix.size(), prefix) != 0) return false;
+    found.push_back(record.key);
+    return true;
+  };
+  for (auto& each : state_->buckets) each->store.list_from(prefix, take);
   return found;
 }
 
@@ -166,7 +170,7 @@
 
 std::size_t voter::key_count() const {
   std::size_t total = 0;
-  for (auto& each : state_->buckets) total += each->store.records().size();
+  for (auto& each : state_->buckets) total += each->store.record_count();
   return total;
 }
 
--- a/src/register/voter.h
+++ b/src/register/voter.h
@@ -12,6 +12,8 @@
   std::string group;
   int buckets = 4;
   std::int64_t limit_bytes = 256 << 20;
+  // A number kept in memory beside each record, for `for_each_attribute`.
+  std::function<std::int64_t(const std::string& record, std::string_view bytes)> attribute;
 };
 
 class voter {
@@ -39,6 +41,10 @@
   std::string for_each_record(
       int bucket, const std::string& prefix, const std::string& after, int limit,
       const std::function<void(const std::string& record, const std::string& bytes)>& handle_record) const;
+  // The same for the records' attributes, without reading the disk.
+  std::string for_each_attribute(
+      int bucket, const std::string& prefix, const std::string& after, int limit,
+      const std::function<void(const std::string& record, std::int64_t attribute)>& handle_record) const;
   // A cell's parts, as `for_each_record` meets them under "k/".
   static std::pair<wire::ballot, std::optional<std::string>> parts_of(const std::string& cell_bytes);
   // Compares itself with its peers and hands over what they miss; runs until the process stops.
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -33,9 +33,7 @@
   std::int64_t asked_view = question.view;
   command work;
   work.urgent = question.urgent;
-  auto kept = holder.store.records().find(record);
-  work.bytes = 2 * record.size() + question.value.size() + 64;
-  if (kept != holder.store.records().end()) work.bytes += kept->second.size();
+  work.bytes = 2 * record.size() + question.value.size() + 64 + holder.store.value_bytes(record);
   work.apply = [self, &holder, record, question, receipt, done, asked_view](auto& overlay) mutable {
     auto bytes = holder.read(overlay, record);
     cell content = bytes ? cell::unpack(*bytes) : cell{};
@@ -87,11 +85,13 @@
   command work;
   work.urgent = question.urgent;
   work.bytes = record.size() + question.body.size();
-  work.apply = [&holder, record, question, done, other_view, self](auto& overlay) {
+  // One copy of the body waits, and goes on to the disk.
+  work.apply = [&holder, record, asked = question.view, body = std::move(question.body), done, other_view,
+                self](auto& overlay) mutable {
     // The view may have moved on while the command waited.
-    bool refused = other_view(question.view) || self->wiping;
+    bool refused = other_view(asked) || self->wiping;
     // Contents never change, so what is there already is right.
-    if (!refused && !holder.read(overlay, record)) overlay[record] = question.body;
+    if (!refused && !holder.holds(overlay, record)) overlay[record] = std::move(body);
     return [done, refused](bool lasting, bool full) {
       done.set(refused ? "view" : lasting ? "yes" : full ? "full" : "failed");
     };
@@ -134,16 +134,13 @@
   std::map<std::string, wire::ballot> merged;
   std::size_t limit = static_cast<std::size_t>(std::clamp<std::int64_t>(question.limit, 1, 5000));
   for (auto& each : buckets) {
-    auto& records = each->store.records();
     std::size_t taken = 0;
-    for (auto entry = records.upper_bound(question.after); entry != records.end() && taken <= limit;
-         ++entry) {
-      if (entry->first[0] == '@') continue;
-      if (question.range >= 0 && static_cast<std::int64_t>(disk::range_of(entry->first)) != question.range)
-        continue;
-      ++taken;
-      merged[entry->first] = entry->first[0] == 'k' ? cell::unpack(entry->second).accepted : wire::ballot{};
-    }
+    each->store.list_from(just_after(question.after), [&](const disk::listed_record& record) {
+      if (record.key[0] == '@') return true;
+      if (question.range >= 0 && static_cast<std::int64_t>(record.range) != question.range) return true;
+      merged[record.key] = accepted_ballot_of(record);
+      return ++taken <= limit;
+    });
   }
   for (auto& [key, accepted] : merged) {
     if (receipt.keys.size() == limit) {
@@ -224,7 +221,10 @@
     if (!self->current.voters.empty()) receipt.view = view_text(self->current);
     receipt.empty = true;
     for (auto& each : self->buckets)
-      for (auto& [key, value] : each->store.records()) receipt.empty = receipt.empty && key[0] == '@';
+      each->store.list_from("", [&receipt](const disk::listed_record& record) {
+        receipt.empty = receipt.empty && record.key[0] == '@';
+        return receipt.empty;
+      });
     co_return receipt;
   });
   port.on<wire::install_view>([self](wire::install_view question) -> task<wire::install_view_receipt> {
--- a/src/register/voter_state.h
+++ b/src/register/voter_state.h
@@ -21,14 +21,19 @@
     memcpy(out.data() + 24, &content.accepted.proposer, 8);
     return out + content.value;
   }
-  static cell unpack(const std::string& bytes) {
+  static cell unpack(std::string_view bytes) {
+    cell content = unpack_ballots(bytes);
+    if (bytes.size() >= 32) content.value = bytes.substr(32);
+    return content;
+  }
+  // Without the value.
+  static cell unpack_ballots(std::string_view bytes) {
     cell content;
     if (bytes.size() < 32) return content;
     memcpy(&content.promised.counter, bytes.data(), 8);
     memcpy(&content.promised.proposer, bytes.data() + 8, 8);
     memcpy(&content.accepted.counter, bytes.data() + 16, 8);
     memcpy(&content.accepted.proposer, bytes.data() + 24, 8);
-    content.value = bytes.substr(32);
     return content;
   }
 };
@@ -40,6 +45,13 @@
 constexpr const char* program_record_prefix = "k/program/";
 constexpr const char* turn_record_prefix = "c/turn/";
 
+// The least key behind this one.
+inline std::string just_after(const std::string& key) { return key + '\0'; }
+// Cells are in memory always; contents have no ballots.
+inline wire::ballot accepted_ballot_of(const disk::listed_record& record) {
+  return record.key[0] == 'k' && record.value ? cell::unpack_ballots(*record.value).accepted : wire::ballot{};
+}
+
 struct command {
   // Stages changes over `overlay` and returns the function that answers once they are lasting.
   using staged = std::function<void(bool lasting, bool full)>;
@@ -60,9 +72,12 @@
                                   const std::string& key) const {
     auto staged = overlay.find(key);
     if (staged != overlay.end()) return staged->second;
-    auto found = store.records().find(key);
-    if (found == store.records().end()) return std::nullopt;
-    return found->second;
+    return store.read(key);
+  }
+  // Without reading the disk.
+  bool holds(const std::map<std::string, std::optional<std::string>>& overlay, const std::string& key) const {
+    auto staged = overlay.find(key);
+    return staged != overlay.end() ? staged->second.has_value() : store.contains(key);
   }
 };
 
@@ -78,10 +93,13 @@
   std::function<void(const std::string&, const std::string&)> accepted_handler;
   state(wire::port from, voter_options options) : port(std::move(from)), choice(std::move(options)) {}
 
-  // Kept turns go into one bucket after the other, so that those that come together share a sync.
+  // Kept turns go into one bucket after the other, so that those that come together share a sync. Here stand
+  // those that were sent to their bucket and aren't lasting there yet.
   std::unordered_map<std::string, std::size_t> turn_places;
   std::size_t turn_bucket = 0;
 
+  // Where a kept turn is, or is to be.
+  std::optional<std::size_t> place_of_turn(const std::string& record) const;
   bucket& bucket_of(const std::string& record);
   bucket& bucket_for_writing(const std::string& record, std::size_t bytes);
   runtime::task<> own(bucket* which);
@@ -96,6 +114,8 @@
   runtime::task<bool> begin_bucket(bucket* which, std::string identity);
   void serve();
   std::optional<std::string> read(const std::string& record) const;
+  // Without reading the disk.
+  bool holds(const std::string& record) const;
   wire::sums_receipt sums(const wire::sums_ask& question) const;
   // A newcomer fetches all records of the view before from its voters.
   wire::records_receipt records(const wire::records_ask& question) const;
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -82,7 +82,11 @@
 };
 
 struct disk_table {
-  std::function<std::variant<std::string, disk_error>(const std::string&)> read;
+  // Up to `length` bytes from `offset` on; fewer only where the file ends.
+  std::function<std::variant<std::string, disk_error>(const std::string&, std::uint64_t offset,
+                                                      std::size_t length)>
+      read_at;
+  std::function<std::variant<std::uint64_t, disk_error>(const std::string&)> size;
   std::function<std::optional<disk_error>(const std::string&, const std::string&)> append;
   std::function<std::optional<disk_error>(const std::string&, const std::string&)> replace;
   std::function<void(const std::string&, std::function<void(std::optional<disk_error>)>)> sync;
--- a/src/runtime/real_files.cc
+++ b/src/runtime/real_files.cc
@@ -31,6 +31,27 @@
   return std::nullopt;
 }
 
+std::variant<std::string, disk_error> read_range(const std::string& path, std::uint64_t offset,
+                                                 std::size_t length) {
+  int file = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (file < 0) return errno == ENOENT ? disk_error::missing : disk_error::failed;
+  std::string bytes(length, '\0');
+  std::size_t done = 0;
+  while (done < length) {
+    ssize_t count = pread(file, bytes.data() + done, length - done, static_cast<off_t>(offset + done));
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) {
+      close(file);
+      return disk_error::failed;
+    }
+    if (count == 0) break;
+    done += static_cast<std::size_t>(count);
+  }
+  close(file);
+  bytes.resize(done);
+  return bytes;
+}
+
 std::optional<disk_error> sync_path(const std::string& path, int flags) {
   int file = open(path.c_str(), flags | O_CLOEXEC);
   if (file < 0) return errno == ENOENT ? disk_error::missing : disk_error::failed;
@@ -45,21 +66,14 @@
   if (!folder.empty()) mkdir(folder.c_str(), 0700);
   auto known = std::make_shared<std::set<std::string>>();
   auto path = [folder](const std::string& name) { return folder + "/" + name; };
-  table.disk.read = [path](const std::string& name) -> std::variant<std::string, disk_error> {
-    int file = open(path(name).c_str(), O_RDONLY | O_CLOEXEC);
-    if (file < 0) return errno == ENOENT ? disk_error::missing : disk_error::failed;
-    std::string bytes;
-    std::string chunk(1 << 16, '\0');
-    while (true) {
-      ssize_t count = read(file, chunk.data(), chunk.size());
-      if (count < 0 && errno == EINTR) continue;
-      if (count <= 0) {
-        close(file);
-        if (count < 0) return disk_error::failed;
-        return bytes;
-      }
-      bytes.append(chunk.data(), static_cast<std::size_t>(count));
-    }
+  table.disk.read_at = [path](const std::string& name, std::uint64_t offset, std::size_t length) {
+    return read_range(path(name), offset, length);
+  };
+  table.disk.size = [path](const std::string& name) -> std::variant<std::uint64_t, disk_error> {
+    struct stat found {};
+    if (stat(path(name).c_str(), &found) != 0)
+      return errno == ENOENT ? disk_error::missing : disk_error::failed;
+    return static_cast<std::uint64_t>(found.st_size);
   };
   table.disk.append = [path](const std::string& name, const std::string& bytes) {
     return write_all(path(name), O_WRONLY | O_CREAT | O_APPEND, bytes);
--- a/tests/disk_test.cc
+++ b/tests/disk_test.cc
@@ -14,9 +14,27 @@
   disk::options options;
   options.prefix = "b";
   options.log_bytes_before_fold = 400;
+  // Some of the values are in memory, the others on disk alone.
+  options.in_memory = [](const std::string&, std::size_t bytes) { return bytes < 25; };
   return options;
 }
 
+records all_of(const disk::store& store) {
+  std::vector<std::string> keys;
+  store.list_from("", [&keys](const disk::listed_record& record) {
+    keys.push_back(record.key);
+    return true;
+  });
+  records found;
+  for (auto& key : keys) {
+    auto value = store.read(key);
+    REQUIRE(value);
+    found[key] = *value;
+  }
+  REQUIRE(store.record_count() == found.size());
+  return found;
+}
+
 // Commits drawn batches until the node is crashed; `lasting` is what was promised, `pending` what was begun.
 struct writer_state {
   records lasting, pending;
@@ -29,9 +47,10 @@
   state->corrupt = store.recover() == disk::error::corrupt;
   if (state->corrupt) co_return;
   // What was promised must be there; what was only begun may be.
-  bool is_lasting = store.records() == state->lasting, is_pending = store.records() == state->pending;
+  auto found = all_of(store);
+  bool is_lasting = found == state->lasting, is_pending = found == state->pending;
   state->recovered = is_lasting || is_pending;
-  state->lasting = state->pending = store.records();
+  state->lasting = state->pending = found;
   std::mt19937_64 random(seed);
   for (int batch = 0; batch < batches; ++batch) {
     std::vector<disk::change> changes;
@@ -49,7 +68,9 @@
     }
     state->pending = next;
     auto failed = co_await store.commit(changes, true);
-    if (!failed) state->lasting = next;
+    if (failed) continue;
+    state->lasting = next;
+    CHECK(all_of(store) == next);
   }
 }
 
--- /dev/null
+++ b/tests/heap_meter.h
@@ -0,0 +1,14 @@
+// What this process holds on its heap, by all that is made with `new`.
+#pragma once
+#include <cstddef>
+
+namespace herontally::tests {
+
+struct heap_use {
+  std::size_t live = 0, peak = 0;
+};
+heap_use heap_now();
+// The peak is counted from here on.
+void reset_heap_peak();
+
+}  // namespace herontally::tests
--- a/tests/store_group.h
+++ b/tests/store_group.h
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "hsim/world.h"
+#include "hstore/expiry.h"
 #include "register/change_view.h"
 #include "register/voter.h"
 
@@ -31,6 +32,7 @@
     choice.group = "store";
     choice.buckets = 2;
     choice.limit_bytes = limit_bytes;
+    choice.attribute = hstore::kept_until_attribute;
     auto voter = std::make_shared<reg::voter>(port, choice);
     voters[name] = voter;
     runtime.spawn(
--- /dev/null
+++ b/tests/store_setting.h
@@ -0,0 +1,82 @@
+// A store on a simulated disk whose bytes a test may change.
+#pragma once
+#include <catch2/catch.hpp>
+
+#include "disk/store.h"
+#include "hsim/world.h"
+
+namespace herontally::tests {
+
+using records = std::map<std::string, std::string>;
+
+// Sums to the records' own hashes, so that two stores with the same records have the same sums.
+inline std::uint64_t hash_of_record(const std::string& key, std::string_view value) {
+  return std::hash<std::string>()(key + "=" + std::string(value));
+}
+
+struct store_setting {
+  hsim::world world;
+  disk::options choice;
+  logging::journal journal{"m", [](auto&, auto&) {}};
+  std::optional<disk::store> store;
+
+  explicit store_setting(std::uint64_t seed) : world(seed) {
+    choice.prefix = "b";
+    choice.fingerprint = hash_of_record;
+    choice.in_memory = [](const std::string&, std::size_t bytes) { return bytes < 16; };
+    world.machine("m", "z");
+  }
+  hsim::sim_disk& disk() { return world.find("m").disk; }
+  // A new process on the disk as it stands.
+  std::optional<disk::error> start() {
+    store.reset();
+    if (world.find("m").up) world.kill("m", hsim::disk_loss::none);
+    world.boot("m");
+    store.emplace(world.runtime_of("m"), choice, journal);
+    return store->recover();
+  }
+  // Nothing when the commit doesn't end, as when the power has gone.
+  std::optional<std::optional<disk::error>> commit(std::vector<disk::change> changes) {
+    auto result = std::make_shared<std::optional<std::optional<disk::error>>>();
+    auto work = [](disk::store* store, std::vector<disk::change> changes,
+                   std::shared_ptr<std::optional<std::optional<disk::error>>> result) -> runtime::task<> {
+      auto end = co_await store->commit(std::move(changes), true);
+      result->emplace(end);
+    };
+    world.runtime_of("m").spawn(work(&*store, std::move(changes), result));
+    world.run_until([&] { return result->has_value(); }, runtime::second);
+    return *result;
+  }
+  void must_commit(std::vector<disk::change> changes) {
+    auto end = commit(std::move(changes));
+    REQUIRE(end);
+    REQUIRE_FALSE(*end);
+  }
+  records all() const {
+    std::vector<std::string> keys;
+    store->list_from("", [&keys](const disk::listed_record& record) {
+      keys.push_back(record.key);
+      return true;
+    });
+    records found;
+    for (auto& key : keys) {
+      auto value = store->read(key);
+      if (value) found[key] = *value;
+    }
+    return found;
+  }
+  // The place of this text in the files; the current one of each slot or log.
+  hsim::sim_file* file_with(const std::string& text) {
+    for (auto& [name, file] : disk().files)
+      if (file.current.find(text) != std::string::npos) return &file;
+    return nullptr;
+  }
+};
+
+inline std::vector<std::uint64_t> sums_of(const records& content) {
+  std::vector<std::uint64_t> sums(disk::ranges, 0);
+  for (auto& [key, value] : content) sums[disk::range_of(key)] ^= hash_of_record(key, value);
+  return sums;
+}
+
+}  // namespace herontally::tests
