Sync a data folder again when its first sync for a new file has failed

Cause: the file counted as known to its folder before the folder's sync, so that after a failed one no later sync of the file brought it to the folder. Change: it counts as known once the folder's sync has succeeded. Ruled out: syncing the folder each time (a second sync for each commit). No test: a folder's sync can't be made to fail here; shown by reading alone.

--- a/src/runtime/real_files.cc
+++ b/src/runtime/real_files.cc
@@ -85,7 +85,10 @@
                         const std::string& name, std::function<void(std::optional<disk_error>)> done) {
     auto error = sync_path(path(name), O_RDONLY);
     // The folder's own entry for a new file needs a sync too.
-    if (!error && known->insert(name).second) error = sync_path(folder, O_RDONLY | O_DIRECTORY);
+    if (!error && !known->count(name)) {
+      error = sync_path(folder, O_RDONLY | O_DIRECTORY);
+      if (!error) known->insert(name);
+    }
     after(0, [done, error] { done(error); });
   };
 }
