--- /dev/null
+++ b/tests/register_damage_test.cc
@@ -0,0 +1,71 @@
+// Contents that a voter's disk has damaged come back from the others.
+#include <catch2/catch.hpp>
+
+#include "store_group.h"
+
+using namespace herontally;
+using runtime::second;
+using tests::group;
+
+namespace {
+
+std::string body_of(int number) { return "{}\n" + std::to_string(number) + std::string(300, 'b'); }
+
+// Changes one byte of this text in each file of the machine that holds it.
+int damage(hsim::world& world, const std::string& machine, const std::string& text) {
+  int places = 0;
+  for (auto& [name, file] : world.find(machine).disk.files) {
+    auto found = file.current.find(text);
+    if (found == std::string::npos) continue;
+    file.current[found + text.size() / 2] ^= 0x20;
+    ++places;
+  }
+  return places;
+}
+
+}  // namespace
+
+TEST_CASE("a content that is damaged on one voter's disk is handed over to it again") {
+  group site(41);
+  auto writer = site.begin();
+  auto key = [](int number) { return "turn/" + std::to_string(number); };
+  for (int number = 0; number < 10; ++number)
+    REQUIRE(
+        site.run("w", writer.put_content(key(number), body_of(number), site.deadline("w", second), false)));
+  site.world.run_for(second);
+  REQUIRE(damage(site.world, "s1", body_of(4)) > 0);
+  // Nobody has noticed yet; whoever reads it is told that it isn't there.
+  REQUIRE_FALSE(site.voters["s1"]->content(key(4)));
+  site.world.run_for(10 * second);
+  for (auto& name : {"s1", "s2", "s3"})
+    for (int number = 0; number < 10; ++number)
+      REQUIRE(site.voters[name]->content(key(number)) == body_of(number));
+  // It is whole on disk as well.
+  auto id = site.voters["s1"]->id();
+  site.world.kill("s1", hsim::disk_loss::none);
+  site.boot("s1");
+  REQUIRE(site.voters["s1"]->id() == id);
+  REQUIRE(site.voters["s1"]->content(key(4)) == body_of(4));
+}
+
+TEST_CASE("a chain is served from disk, and ends where a body is damaged") {
+  group site(42);
+  auto writer = site.begin();
+  auto key = [](int number) { return "turn/" + std::to_string(number); };
+  auto body = [&key](int number) {
+    return R"({"previous":")" + (number > 0 ? key(number - 1) : "") + "\"}\n" + body_of(number);
+  };
+  for (int number = 0; number < 6; ++number)
+    REQUIRE(site.run("w", writer.put_content(key(number), body(number), site.deadline("w", second), false)));
+  site.world.run_for(second);
+  for (auto& name : {"s1", "s2"}) REQUIRE(damage(site.world, name, body_of(2)) > 0);
+  auto any = [](const std::string&, const std::string&) { return true; };
+  auto previous = [](const std::string& text) {
+    return nlohmann::json::parse(text.substr(0, text.find('\n')))["previous"].get<std::string>();
+  };
+  // The third voter still has all of it.
+  auto bodies = site.run("w", writer.fetch_chain(key(5), 6, any, previous, site.deadline("w", 5 * second)));
+  REQUIRE(bodies);
+  for (int number = 0; number < 6; ++number)
+    REQUIRE((*bodies)[static_cast<std::size_t>(5 - number)] == body(number));
+}
