Read a slot in large pieces while it is folded

Cause: each value that isn't in memory was opened, read and closed by itself, though those in the slot stand in the order in which the fold wants them. Change: the slot is read through the window of the recovery; values in the log are still read one by one, since they stand in the order of their commits. Ruled out: descriptors kept open (they would count among the process's own).

--- a/src/disk/fold.cc
+++ b/src/disk/fold.cc
@@ -1,5 +1,6 @@
 #include "disk/fold.h"
 
+#include "disk/file_window.h"
 #include "disk/format.h"
 
 namespace herontally::disk {
@@ -41,6 +42,32 @@
   }
 };
 
+// Reads the values that aren't in memory. Those in the slot stand there in the order of their keys, so that
+// many are read at once.
+class value_reader {
+ public:
+  explicit value_reader(store::state* self) : self_(self), slot_(self->disk(), self->slot_file(self->slot)) {}
+  // False when the value can't be read, or the record is damaged.
+  bool append_to(std::string& out, const std::string& key, const index_entry& entry) {
+    if (entry.in_log) {
+      auto value = self_->read(key, entry);
+      if (value) out += *value;
+      return value.has_value();
+    }
+    if (!opened_ && slot_.open()) return false;
+    opened_ = true;
+    auto value = slot_.at(entry.offset, entry.value_bytes);
+    if (slot_.failed() || !self_->is_whole(key, entry, value)) return false;
+    out += value;
+    return true;
+  }
+
+ private:
+  store::state* self_;
+  file_window slot_;
+  bool opened_ = false;
+};
+
 enum class slot_end { written, record_damaged, failed, full };
 
 slot_end from_disk_error(runtime::disk_error found) {
@@ -52,15 +79,14 @@
 runtime::task<slot_end> write_slot(store::state* self, std::string file) {
   self->records.remove_damaged();
   piece_writer out{self->disk(), file, pack_slot_head(head_of(self->records, self->generation + 1))};
+  value_reader values(self);
   for (auto& [key, entry] : self->records.entries()) {
     out.pending += pack_change_head(key, entry.value_bytes);
     if (entry.damaged) co_return slot_end::record_damaged;
     if (entry.in_memory) {
       out.pending += entry.value;
-    } else {
-      auto value = self->read(key, entry);
-      if (!value) co_return entry.damaged ? slot_end::record_damaged : slot_end::failed;
-      out.pending += *value;
+    } else if (!values.append_to(out.pending, key, entry)) {
+      co_return entry.damaged ? slot_end::record_damaged : slot_end::failed;
     }
     if (!out.full()) continue;
     if (auto failed = out.flush()) co_return from_disk_error(*failed);
--- a/src/disk/store.cc
+++ b/src/disk/store.cc
@@ -29,6 +29,16 @@
   return live_bytes() + static_cast<std::int64_t>(bytes) <= most;
 }
 
+bool store::state::is_whole(const std::string& key, const index_entry& entry, std::string_view bytes) {
+  if (bytes.size() == entry.value_bytes && checksum(bytes) == entry.checksum) return true;
+  journal.count("herontally_disk_damaged_records_total");
+  journal.error("a record's value can't be read any more", {{"record", key}});
+  records.mark_damaged(key);
+  // The next commit leaves the damaged place behind.
+  must_fold = true;
+  return false;
+}
+
 std::optional<std::string> store::state::read(const std::string& key, const index_entry& entry) {
   auto file = entry.in_log ? log_file(slot) : slot_file(slot);
   auto found = disk().read_at(file, entry.offset, entry.value_bytes);
@@ -37,13 +47,8 @@
     journal.count("herontally_disk_read_failures_total");
     return std::nullopt;
   }
-  if (value->size() == entry.value_bytes && checksum(*value) == entry.checksum) return std::move(*value);
-  journal.count("herontally_disk_damaged_records_total");
-  journal.error("a record's value can't be read any more", {{"file", file}, {"record", key}});
-  records.mark_damaged(key);
-  // The next commit leaves the damaged place behind.
-  must_fold = true;
-  return std::nullopt;
+  if (!is_whole(key, entry, *value)) return std::nullopt;
+  return std::move(*value);
 }
 
 std::optional<std::string> store::read(const std::string& key) const {
--- a/src/disk/store_state.h
+++ b/src/disk/store_state.h
@@ -23,6 +23,8 @@
   std::string log_file(int which) const { return choice.prefix + ".log" + std::to_string(which); }
   // Applies a batch that stands at this place of the log.
   void apply_logged(const std::vector<change>& changes, std::uint64_t batch_offset);
+  // Whether these are the value's bytes; a record without its value is reported and marked as damaged.
+  bool is_whole(const std::string& key, const index_entry& entry, std::string_view bytes);
   // Reads a value and checks it.
   std::optional<std::string> read(const std::string& key, const index_entry& entry);
 };
