--- a/src/register/fill.cc
+++ b/src/register/fill.cc
@@ -91,10 +91,12 @@
 
 bool voter::state::lacks(const std::string& record, const wire::ballot& accepted,
                          const wire::ballot& promised) const {
-  auto own = read(record);
-  if (!own) return true;
+  auto& store = const_cast<state*>(this)->bucket_of(record).store;
+  if (!store.contains(record)) return true;
   if (record[0] != 'k') return false;
-  auto mine = cell::unpack(*own);
+  auto own = store.read(record);
+  if (!own) return true;
+  auto mine = cell::unpack_ballots(*own);
   return accepted > mine.accepted || promised > mine.promised;
 }
 
