Share a cold engine's rate by each node's rank in the agreed list of edges

Cause: each node took max(1, rate / nodes it knows) a second of a cold engine's rate.

Change: the share comes from the node's rank in the agreed list of edges, as the product's own interface does it; the smaller of both lists while the list changes; none for a node that isn't listed. With fewer requests a second than nodes the right to send rotates by the time of day, slowly, so that what a second of rotation lets in stays within the rate. Ranks are spread, since neighbours stand in one zone and would hold an outdated list together.

Ruled out: slots of time as short as a request's own spacing (a request seldom comes in its node's slot); spacing from a phase of each node without a common clock (all may send at the same moment).

--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -27,13 +27,18 @@
   state_->wake();
 }
 
-void door::nodes(std::int64_t count) { state_->nodes = std::max<std::int64_t>(1, count); }
+void door::nodes(std::int64_t count, const node_group& group) {
+  state_->nodes = std::max<std::int64_t>({1, count, group.nodes, group.nodes_before});
+  state_->group = group;
+}
 bool door::ready() const { return state_->routed && state_->engines.known() && !state_->leaving; }
 void door::leave() { state_->leaving = true; }
 void door::close() { state_->closed = true; }
 std::int64_t door::under_way() const { return state_->under_way; }
 
-surroundings door::state::around() const { return {table, evacuated, choice.zone, nodes, runtime.now()}; }
+surroundings door::state::around() const {
+  return {table, evacuated, choice.zone, nodes, group, runtime.now(), runtime.wall()};
+}
 
 void door::state::refuse(const exchange_pointer& one, int status, const std::string& why,
                          std::int64_t come_back) {
--- a/src/forward/door.h
+++ b/src/forward/door.h
@@ -1,6 +1,7 @@
 // Takes clients' requests by the routing table, sends each to an engine unchanged, and its answer back.
 #pragma once
 #include "dialect/dialect.h"
+#include "forward/cold_share.h"
 #include "gateway/http.h"
 #include "ledger/programs.h"
 #include "logging/logging.h"
@@ -22,7 +23,9 @@
   // What is in force from now on.
   void routing(routing::table table, std::set<std::string> evacuated);
   void engines(const std::string& list, const std::vector<std::string>& leaving);
-  void nodes(std::int64_t count);
+  // How many nodes share the engines' caps on connections, and this one's place among those that share the
+  // rates of cold engines.
+  void nodes(std::int64_t count, const node_group& group);
   // Requests are served from here on; before, they are told when to come back.
   bool ready() const;
   // No more new connections: whoever is answered is told to open another one elsewhere.
--- a/src/forward/door_state.h
+++ b/src/forward/door_state.h
@@ -51,6 +51,7 @@
   std::set<std::string> evacuated;
   roster engines;
   std::int64_t nodes = 1, under_way = 0;
+  node_group group;
   bool leaving = false, closed = false, routed = false;
   std::vector<runtime::slot<bool>> room;  // requests that wait for an engine, first come first
 
--- a/src/forward/plan.cc
+++ b/src/forward/plan.cc
@@ -45,8 +45,8 @@
   made.attempt = asked.attempt;
   made.parts = part_keys(asked.terms, asked.route);
   auto prompt = tokens_before(asked.terms, made.parts.size());
-  auto all =
-      engines.candidates(asked.service, around.evacuated, around.zone, around.nodes, prompt, around.now);
+  auto all = engines.candidates(asked.service, around.evacuated, around.zone, around.group, around.wall,
+                                prompt, around.now);
   for (auto& each : all)
     each.cached_blocks = static_cast<std::size_t>(
         tokens_before(asked.terms, engines.kept().leading(each.number, made.parts, around.now)));
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -11,8 +11,9 @@
   const routing::table& table;
   const std::set<std::string>& evacuated;
   std::string zone;
-  std::int64_t nodes = 1;  // that share the engines' caps, this one included
-  microseconds now = 0;
+  std::int64_t nodes = 1;  // that share the engines' caps on connections, this one included
+  node_group group;        // that share the rates of cold engines
+  microseconds now = 0, wall = 0;
 };
 
 struct subject {
--- a/src/forward/roster.cc
+++ b/src/forward/roster.cc
@@ -39,15 +39,14 @@
   for (auto& each : rows_) each.leaving = std::find(ids.begin(), ids.end(), each.listed.id) != ids.end();
 }
 
-// A cold engine bears so many requests a second from all nodes together. Each node takes its part of that
-// over every second that slides by; a part below one still lets one through now and then.
-bool roster::may_take_cold(engine_row& row, const routing::service& service, std::int64_t nodes,
-                           microseconds now) {
+// A cold engine bears so many requests a second from all nodes together. Each node keeps to its share of that
+// over every second that slides by.
+bool roster::may_take_cold(engine_row& row, const routing::service& service, const node_group& group,
+                           microseconds wall, microseconds now) {
   if (service.cold_rate <= 0 || now >= row.cold_until) return true;
   while (!row.cold_sends.empty() && now - row.cold_sends.front() >= second) row.cold_sends.pop_front();
-  auto part = std::max<std::int64_t>(
-      1, static_cast<std::int64_t>(service.cold_rate) / std::max<std::int64_t>(1, nodes));
-  return static_cast<std::int64_t>(row.cold_sends.size()) < part;
+  auto share = cold_share(service.cold_rate, group, row.listed.id, wall);
+  return static_cast<std::int64_t>(row.cold_sends.size()) < share;
 }
 
 // What one request costs an engine besides its prompt, in prompt tokens: its part of the steps that put out.
@@ -61,8 +60,8 @@
 
 std::vector<placement::engine> roster::candidates(const routing::service& service,
                                                   const std::set<std::string>& evacuated,
-                                                  const std::string& zone, std::int64_t nodes,
-                                                  std::int64_t tokens, microseconds now) {
+                                                  const std::string& zone, const node_group& group,
+                                                  microseconds wall, std::int64_t tokens, microseconds now) {
   std::vector<placement::engine> engines;
   auto found = by_service_.find(service.name);
   if (found == by_service_.end()) return engines;
@@ -78,7 +77,7 @@
     each.evacuated = evacuated.count(row.listed.zone) > 0;
     // Out of use for a while after failures; then one request tries it.
     bool down = now < row.down_until || (row.on_trial && row.ours > 0);
-    each.live = row.present && !down && may_take_cold(row, service, nodes, now);
+    each.live = row.present && !down && may_take_cold(row, service, group, wall, now);
     each.waitlist = row.ours;
     each.ours = row.ours;
     bool free = each.live && !each.draining && !each.evacuated;
--- a/src/forward/roster.h
+++ b/src/forward/roster.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "dialect/dialect.h"
+#include "forward/cold_share.h"
 #include "placement/placement.h"
 #include "prefix/prefix.h"
 
@@ -43,11 +44,12 @@
   engine_row& row(names::index number) { return rows_[number]; }
   const std::vector<engine_row>& rows() const { return rows_; }
   prefix::index& kept() { return kept_; }
-  // What placement looks at, for one service. `nodes`: who share the engines' caps with us. `tokens`: of the
-  // prompt at hand; engines whose work differs by no more than that are alike in load.
+  // What placement looks at, for one service. `group` and `wall`: see cold_share. `tokens`: of the prompt at
+  // hand; engines whose work differs by no more than that are alike in load.
   std::vector<placement::engine> candidates(const routing::service& service,
                                             const std::set<std::string>& evacuated, const std::string& zone,
-                                            std::int64_t nodes, std::int64_t tokens, microseconds now);
+                                            const node_group& group, microseconds wall, std::int64_t tokens,
+                                            microseconds now);
   std::size_t usable(const std::string& service, const std::set<std::string>& evacuated,
                      microseconds now) const;
 
@@ -64,7 +66,8 @@
 
  private:
   static double work(const engine_row& row, microseconds now);
-  bool may_take_cold(engine_row& row, const routing::service& service, std::int64_t nodes, microseconds now);
+  bool may_take_cold(engine_row& row, const routing::service& service, const node_group& group,
+                     microseconds wall, microseconds now);
   std::vector<engine_row> rows_;
   std::map<std::string, names::index> by_id_;
   std::map<std::string, std::vector<names::index>> by_service_;
--- a/src/hproxy/door.cc
+++ b/src/hproxy/door.cc
@@ -34,7 +34,9 @@
   std::int64_t live = 0;
   for (auto& each : members)
     if (each.role == "hproxy" && (each.status == "alive" || each.status == "suspect")) ++live;
-  door->nodes(live);
+  // By the agreed list of edges, not the membership: nodes with different views of who lives would send more
+  // than the rate between them.
+  door->nodes(live, {desired ? proxies : 0, rank, proxies_before, rank_before});
   // Readiness asks for the view of the stores before any client does.
   if (stores.current().number == 0) runtime.spawn(stores.refresh(runtime.now() + second));
 }
--- a/tests/door_setting.h
+++ b/tests/door_setting.h
@@ -89,7 +89,7 @@
   void begin() {
     door->routing(table, {});
     door->engines(listed.dump(), {});
-    door->nodes(1);
+    door->nodes(1, {1, 0});
   }
   void serve(const std::string& id, runtime::http_visit request, gateway::writer out) {
     seen.push_back({id, request.method, request.target, request.body, request.headers});
--- a/tests/forward_test.cc
+++ b/tests/forward_test.cc
@@ -48,6 +48,7 @@
   std::mt19937_64 random{3};
   runtime::microseconds now = 100 * second;
   nlohmann::json listed = nlohmann::json::array();
+  forward::node_group group{3, 0};
 
   setting() {
     // Of model engines, unless a case says otherwise.
@@ -69,7 +70,7 @@
   }
   std::variant<forward::plan, forward::unplanned> plan(dialect::request_terms terms = {}) {
     forward::subject asked{table.routes[0], table.services[0], terms, {}, 1};
-    forward::surroundings around{table, evacuated, "a", 3, now};
+    forward::surroundings around{table, evacuated, "a", 3, group, now, now};
     return forward::make_plan(asked, engines, around, random);
   }
   std::string chosen(dialect::request_terms terms = {}) {
@@ -156,6 +157,10 @@
   }
   // 12 a second for three nodes.
   CHECK(sent == 4);
+  // A node that the others don't count has no part.
+  here.now += second;
+  here.group.rank = -1;
+  CHECK(here.chosen().empty());
   here.now += 4 * second;
   CHECK(here.chosen() == "one");
 }
