Plan no engine at which all of this node's connections are in use

Cause: a plan looked at the engine's places only. A request beyond this node's part of the connections was refused by our own pool, and the engine was put out of use for half a second as if nothing listened there.

Change: a plan counts this node's requests against its connections too. Test: an engine with twelve of our connections gets a thirteenth request in the old code, none in the new.

--- a/src/forward/plan.cc
+++ b/src/forward/plan.cc
@@ -56,7 +56,13 @@
   question.prompt_tokens = static_cast<std::size_t>(prompt);
   // Work is compared in steps (see the roster); that an engine has places left is looked at here.
   question.most_at_once = std::numeric_limits<std::int64_t>::max();
-  for (auto& each : all) each.live = each.live && each.ours < engines.row(each.number).listed.capacity;
+  // All nodes together stay under the engine's cap on connections, also while some more are being added.
+  auto connections =
+      std::max<std::int64_t>(2, asked.service.connections / (std::max<std::int64_t>(1, around.nodes) + 2));
+  for (auto& each : all) {
+    auto capacity = engines.row(each.number).listed.capacity;
+    each.live = each.live && each.ours < std::min(capacity, connections);
+  }
   question.warm_seconds = 0;  // cold engines are held back by their rate
   if (asked.service.model) question.min_cached_token_delta = asked.service.model->min_cached_token_delta;
   question.avoid = asked.avoid;
@@ -74,9 +80,7 @@
     made.source = all[*choice->source].name;
     made.source_tokens = static_cast<std::int64_t>(choice->source_blocks);
   }
-  // All nodes together stay under the engine's cap, also while some more are being added.
-  made.connections = static_cast<std::size_t>(
-      std::max<std::int64_t>(2, asked.service.connections / (std::max<std::int64_t>(1, around.nodes) + 2)));
+  made.connections = static_cast<std::size_t>(connections);
   return made;
 }
 
--- a/tests/forward_test.cc
+++ b/tests/forward_test.cc
@@ -165,6 +165,19 @@
   CHECK(here.chosen() == "one");
 }
 
+TEST_CASE("an engine at which all of this node's connections are in use gets nothing more") {
+  setting here;
+  here.engine("one", "a");
+  // 60 connections for three nodes and two more: twelve each.
+  for (int sent = 0; sent < 12; ++sent) {
+    CHECK(here.chosen() == "one");
+    here.engines.sent(0, 0, here.now);
+  }
+  CHECK(here.chosen().empty());
+  here.engines.ended(0);
+  CHECK(here.chosen() == "one");
+}
+
 TEST_CASE("a source is named when its lead is over the threshold, and only among engines free to lend") {
   setting here;
   here.table.services[0].model->min_cached_token_delta = 2048;
