Wake the requests that wait for an engine in the order of their urgency

Cause: requests without an engine waited first come first served; the users price a kind of request that is served less often than a less urgent one of the same service.

Change: the list of waiting requests is ordered by the route's urgency, then by arrival, with a test. Where a route isn't known yet a request waits as the least urgent.

--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -52,26 +52,26 @@
   one->out->reply(std::move(receipt));
 }
 
-void door::state::wake() {
-  for (auto& each : room) each.set(true);
-  room.clear();
-}
+void door::state::wake() { room.wake_all(); }
 
-task<bool> door::state::wait_for_room(microseconds until) {
+task<bool> door::state::wait_for_room(microseconds until, std::int64_t urgency) {
   auto self = shared_from_this();
   auto left = until - self->runtime.now();
   if (left <= 0) co_return false;
   runtime::slot<bool> bell(self->runtime);
-  self->room.push_back(bell);
+  self->room.add(urgency, bell);
   // Cold rates and pauses after failures come free by time alone.
   auto timer =
       self->runtime.after(std::min<microseconds>(left, 50 * millisecond), [bell] { bell.set(true); });
   co_await bell.wait();
   self->runtime.cancel(timer);
-  std::erase_if(self->room, [](auto& each) { return each.is_set(); });
+  self->room.remove_woken();
   co_return true;
 }
 
+// The urgency of a request whose route isn't known yet.
+constexpr std::int64_t least_urgent = 9;
+
 task<> door::serve(runtime::http_visit request, gateway::writer out) {
   auto self = state_;
   auto one = std::make_shared<exchange>();
@@ -90,7 +90,7 @@
   std::int64_t patience = 1200;
   if (one->terms.time_left >= 0) patience = std::min(patience, one->terms.time_left / 3);
   while (!self->routed || !self->engines.known()) {
-    bool more = co_await self->wait_for_room(one->arrived + patience * millisecond);
+    bool more = co_await self->wait_for_room(one->arrived + patience * millisecond, least_urgent);
     if (more) continue;
     self->refuse(one, 503, "nothing is in force here yet", 300);
     co_return;
--- a/src/forward/door_state.h
+++ b/src/forward/door_state.h
@@ -3,6 +3,7 @@
 #include "forward/door.h"
 #include "forward/events.h"
 #include "forward/plan.h"
+#include "forward/waiting_list.h"
 
 namespace herontally::forward {
 
@@ -53,7 +54,7 @@
   std::int64_t nodes = 1, under_way = 0;
   node_group group;
   bool leaving = false, closed = false, routed = false;
-  std::vector<runtime::slot<bool>> room;  // requests that wait for an engine, first come first
+  waiting_list room;  // requests that wait for an engine
 
   state(runtime::handle handle, logging::journal lines, std::shared_ptr<const dialect::dialect> from,
         ledger::programs ledger, door_options chosen)
@@ -65,7 +66,7 @@
   surroundings around() const;
   void refuse(const exchange_pointer& one, int status, const std::string& why, std::int64_t come_back = 0);
   void wake();
-  task<bool> wait_for_room(microseconds until);
+  task<bool> wait_for_room(microseconds until, std::int64_t urgency);
   task<> run(exchange_pointer one);
   // False: the request was answered already.
   task<bool> prepare(exchange_pointer one);
--- a/src/forward/request.cc
+++ b/src/forward/request.cc
@@ -110,7 +110,8 @@
       auto patience = one->arrived + one->route.aim * millisecond / 5;
       bool hopeless = *why == unplanned::hopeless;
       bool room = false;
-      if (!hopeless) room = co_await self->wait_for_room(std::min(one->deadline, patience));
+      if (!hopeless)
+        room = co_await self->wait_for_room(std::min(one->deadline, patience), one->route.urgency);
       if (room) {
         --turn;
         continue;
--- /dev/null
+++ b/tests/waiting_list_test.cc
@@ -0,0 +1,38 @@
+// The order in which requests wait for an engine.
+#include "forward/waiting_list.h"
+
+#include <catch2/catch.hpp>
+
+#include "hsim/world.h"
+
+using namespace herontally;
+using runtime::millisecond;
+
+namespace {
+
+runtime::task<> wait_in(std::shared_ptr<forward::waiting_list> list, runtime::handle runtime,
+                        std::int64_t urgency, std::string name,
+                        std::shared_ptr<std::vector<std::string>> woken) {
+  runtime::slot<bool> waiter(runtime);
+  list->add(urgency, waiter);
+  co_await waiter.wait();
+  woken->push_back(name);
+}
+
+}  // namespace
+
+TEST_CASE("the most urgent of the waiting requests is woken first, then the first to come") {
+  hsim::world world(5);
+  world.machine("node", "z");
+  world.boot("node");
+  auto runtime = world.runtime_of("node");
+  auto list = std::make_shared<forward::waiting_list>();
+  auto woken = std::make_shared<std::vector<std::string>>();
+  runtime.spawn(wait_in(list, runtime, 5, "usual", woken));
+  runtime.spawn(wait_in(list, runtime, 1, "urgent", woken));
+  runtime.spawn(wait_in(list, runtime, 5, "usual too", woken));
+  world.run_for(millisecond);
+  list->wake_all();
+  world.run_for(millisecond);
+  CHECK(*woken == std::vector<std::string>{"urgent", "usual", "usual too"});
+}
