Risk shorter idle times on connections of a service that has lost a request on one

Cause: an engine may forget an idle connection without a word (300 ms of rest where it happens), and what is written to it is lost. A request that may run once ends as "may have run" then, which is right, but nothing was learnt: up to two seconds of rest were risked with each request.

Change: the pool tells with a failure how long the connection had been idle. The request's loss limits the rest that requests which may run once risk at that service to half of that, for a minute, and is counted and logged. Nothing is sent twice. Tests: the idle time is told and the request goes out once; the limit falls and rises again; an answer without length that is reset is incomplete; a connection that was answered before it took the whole body isn't used again (the last two held already).

--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -44,14 +44,25 @@
                           one.route.urgency);
   request.pooled = true;
   request.most_connections = made.connections;
-  // What may run only once isn't risked on a connection that the engine may be about to close.
-  bool once = one.route.kind != routing::category::idempotent;
-  request.longest_idle = once ? 2 * second : 4 * second;
+  bool repeatable = one.route.kind == routing::category::idempotent;
+  request.longest_idle = idle.longest(one.service.name, repeatable, runtime.now());
   request.echo_name = speech->echo_header;
   request.echo_value = one.terms.attempt;
   return request;
 }
 
+void door::state::note_failure(const exchange& one, names::index engine,
+                               const runtime::http_failure& failure) {
+  engines.failed(engine, !failure.sent, runtime.now());
+  bool on_idle_connection = failure.sent && !failure.garbled && failure.idle_before >= 0;
+  if (!on_idle_connection) return;
+  // The engine may have forgotten the connection; what was sent may have run all the same.
+  idle.lost(one.service.name, failure.idle_before, runtime.now());
+  journal.count("herontally_idle_connections_lost_total");
+  journal.info("request lost on an idle connection",
+               {{"service", one.service.name}, {"idle_milliseconds", failure.idle_before / millisecond}});
+}
+
 task<attempt_end> door::state::attempt(exchange_pointer one, plan made) {
   auto self = shared_from_this();
   auto number = made.engine;
@@ -108,7 +119,7 @@
       bool sent = !failure || failure->sent;
       one->offered = one->offered || sent;
       end = sent ? attempt_end::unknown : attempt_end::not_sent;
-      self->engines.failed(number, !sent, self->runtime.now());
+      self->note_failure(*one, number, failure ? *failure : runtime::http_failure{});
     }
   }
   if (one->gone) end = attempt_end::gone;
--- a/src/forward/door_state.h
+++ b/src/forward/door_state.h
@@ -2,6 +2,7 @@
 #pragma once
 #include "forward/door.h"
 #include "forward/events.h"
+#include "forward/idle_limit.h"
 #include "forward/plan.h"
 #include "forward/waiting_list.h"
 
@@ -51,6 +52,7 @@
   routing::table table;
   std::set<std::string> evacuated;
   roster engines;
+  idle_limit idle;
   std::int64_t nodes = 1, under_way = 0;
   node_group group;
   bool leaving = false, closed = false, routed = false;
@@ -78,6 +80,7 @@
   task<attempt_end> pass_whole(exchange_pointer one, std::shared_ptr<runtime::http_stream> stream, int status,
                                headers answer);
   runtime::http_request request_for(const exchange& one, const plan& made) const;
+  void note_failure(const exchange& one, names::index engine, const runtime::http_failure& failure);
   task<> settle(exchange_pointer one);
 };
 
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -64,6 +64,8 @@
 struct http_failure {
   bool sent = true;
   bool garbled = false;  // bytes came that are no answer in the protocol
+  // How long the connection had been idle before this request was written to it; negative: it was a new one.
+  microseconds idle_before = -1;
 };
 using http_event = std::variant<http_head, http_piece, http_end, http_failure>;
 
--- a/src/runtime/real_pool.cc
+++ b/src/runtime/real_pool.cc
@@ -144,6 +144,7 @@
     entry->request = std::move(request);
     auto* connection = entry->bytes.empty() ? nullptr : find_connection(here.get(), address, entry->request);
     if (connection) {
+      if (connection->connected) entry->idle_before = here->now() - connection->idle_since;
       start_request(connection, number);
       return number;
     }
--- a/src/runtime/real_pool.h
+++ b/src/runtime/real_pool.h
@@ -18,6 +18,7 @@
   std::string bytes;         // the request as it goes out, until it does
   std::size_t buffered = 0;  // of it, what the kernel didn't take at once
   bool sent = false;
+  microseconds idle_before = -1;  // of its connection; negative: a new one
 };
 
 // The answer that is being read.
--- a/src/runtime/real_pool_connection.cc
+++ b/src/runtime/real_pool_connection.cc
@@ -104,8 +104,9 @@
   std::size_t left = evbuffer_get_length(bufferevent_get_output(connection->stream));
   bool sent = request.sent || left < request.buffered;
   request.connection = 0;
+  http_failure failure{sent, garbled, request.idle_before};
   close_connection(connection);
-  emit(part.get(), number, http_failure{sent, garbled});
+  emit(part.get(), number, failure);
 }
 
 }  // namespace herontally::runtime
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -25,6 +25,13 @@
   std::string received;
   bool ended = false, reset = false;
   void send(const std::string& bytes) const { bufferevent_write(stream, bytes.data(), bytes.size()); }
+  // Ends the connection with a reset instead of a close.
+  void reset_now() {
+    linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    bufferevent_free(std::exchange(stream, nullptr));
+  }
+  void stop_reading() const { bufferevent_disable(stream, EV_READ); }
   // libevent closes the descriptor later, from the loop; the other side is told at once.
   void close() {
     shutdown(bufferevent_getfd(stream), SHUT_WR);
