--- a/src/forward/door.cc
+++ b/src/forward/door.cc
@@ -72,7 +72,7 @@
 // The urgency of a request whose route isn't known yet.
 constexpr std::int64_t least_urgent = 9;
 
-task<> door::serve(runtime::http_visit request, gateway::writer out) {
+task<> door::serve(runtime::inbound_request request, gateway::writer out) {
   auto self = state_;
   auto one = std::make_shared<exchange>();
   one->arrived = self->runtime.now();
