Model test of the replicated register: seeded faults, linearizable histories

Cause: nothing searched the register's behaviour over many schedules; the existing tests fix theirs. Change: register_model runs the real proposers, voters, moves, fill, repair and disks in the simulated world under faults drawn from a seed, checks each key's history as a compare-and-set register, and shrinks what fails. The simulated world can lose inner messages, and a wall clock can be stepped while a process runs. Ruled out: other seeds' runs change by this; both additions draw nothing unless they are used.

--- a/src/hsim/world.cc
+++ b/src/hsim/world.cc
@@ -107,16 +107,17 @@
   std::weak_ptr<state> weak = shared_from_this();
   std::uint64_t life = self->life;
   std::string name = self->name;
-  microseconds offset = self->clock_offset, skew = self->wall_skew;
+  microseconds offset = self->clock_offset;
   // A day in 2026, so that calendars and keeping times meet plausible dates.
   constexpr microseconds epoch = 1767225600ll * rt::second;
   table.now = [weak, offset] {
     auto here = weak.lock();
     return here ? here->now + offset : 0;
   };
-  table.wall = [weak, skew] {
+  // The skew is read each time: a wall clock may be stepped while the process runs.
+  table.wall = [weak, name] {
     auto here = weak.lock();
-    return here ? here->now + epoch + skew : 0;
+    return here ? here->now + epoch + here->machines.at(name)->wall_skew : 0;
   };
   table.after = [weak, name, life](microseconds delay, std::function<void()> work) {
     auto here = weak.lock();
--- a/src/hsim/world.h
+++ b/src/hsim/world.h
@@ -47,6 +47,7 @@
   double slow = 0;  // part of the messages that take up to `most_extra` more
   microseconds most_extra = 20000;
   double twice = 0;  // part of the inner messages that arrive a second time, up to 2 s later
+  double lost = 0;   // part of the inner requests and of their answers that never arrive
   std::int64_t messages = 0, bytes = 0;
 };
 
--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -11,6 +11,10 @@
   return time;
 }
 
+bool world::state::is_lost() {
+  return net.lost > 0 && static_cast<double>(random() % 10000) < net.lost * 10000;
+}
+
 struct machine* world::state::listening(const std::string& address) {
   auto found = by_address.find(address);
   if (found == by_address.end()) return nullptr;
@@ -93,6 +97,7 @@
       handler->second(payload, [weak, call](std::string answer) {
         auto again = weak.lock();
         if (!again) return;
+        if (again->is_lost()) return;
         auto bytes = answer.size();
         again->carry(
             call->callee, call->caller, call->caller_life,
@@ -113,6 +118,7 @@
         if (auto world = weak.lock()) world->carry(call->caller, call->callee, call->callee_life, deliver, 0);
       });
     }
+    if (here->is_lost()) return;
     here->carry(name, call->callee, call->callee_life, std::move(deliver), bytes);
   };
 }
--- a/src/hsim/world_state.h
+++ b/src/hsim/world_state.h
@@ -47,6 +47,7 @@
   void carry(const std::string& from, const std::string& to, std::uint64_t to_life,
              std::function<void()> work, std::size_t bytes, microseconds not_before = 0);
   microseconds latency();
+  bool is_lost();
   struct machine* listening(const std::string& address);
   bool lives(const std::string& name, std::uint64_t life) const;
 
--- /dev/null
+++ b/tests/model/clients.h
@@ -0,0 +1,37 @@
+// The writers and movers of a run: machines of their own that use the register through its proposers.
+#pragma once
+#include <map>
+
+#include "hsim/world.h"
+#include "model/history.h"
+#include "model/plan.h"
+#include "register/proposer.h"
+
+namespace herontally::model {
+
+// What all clients of a run share.
+struct client_context {
+  hsim::world* world = nullptr;
+  std::vector<std::string> addresses;
+  std::vector<std::string> storage_names;
+  int keys = 1;
+  bool writing = true;  // writers go on
+  bool moving = true;   // movers also move the group without need
+  int next_value = 1;
+  std::int64_t epoch = 0;
+  int moves_finished = 0;
+  std::map<std::string, std::vector<operation>> histories;
+};
+using shared_context = std::shared_ptr<client_context>;
+
+reg::proposer make_proposer(const shared_context& context, const std::string& machine);
+
+// Reads and compare-and-sets over the keys until the context says otherwise.
+runtime::task<> write_forever(shared_context context, std::string name, reg::proposer group);
+// Reads every key once; true when all could be read.
+runtime::task<bool> read_all(shared_context context, std::string name, reg::proposer group,
+                             runtime::microseconds deadline);
+// Replaces lost voters by spares, finishes moves, and moves the group without need now and then.
+runtime::task<> move_forever(shared_context context, reg::proposer group);
+
+}  // namespace herontally::model
--- /dev/null
+++ b/tests/model/cluster.cc
@@ -0,0 +1,153 @@
+#include "model/cluster.h"
+
+#include "register/change_view.h"
+
+namespace herontally::model {
+
+namespace {
+
+constexpr int buckets = 2;
+constexpr std::int64_t disk_limit_bytes = 4 << 20;
+
+std::string address_of(int number) { return "10.0.0." + std::to_string(number) + ":7000"; }
+
+// A corrupt disk is a lost one: the identity that it had is noted.
+runtime::task<> open_voter(std::shared_ptr<reg::voter> voter, std::string identity_before,
+                           std::shared_ptr<std::set<std::string>> lost) {
+  auto fault = co_await voter->open();
+  if (fault) lost->insert(identity_before);
+}
+
+runtime::task<> repair(std::shared_ptr<reg::voter> voter) { co_await voter->repair_forever(); }
+
+}  // namespace
+
+wire::port make_port(hsim::world& world, const std::string& machine) {
+  auto silent = [](auto&, auto&) {};
+  return wire::port(world.runtime_of(machine), machine, logging::journal(machine, silent));
+}
+
+cluster::cluster(hsim::world& world, const run_options& options) : world_(world) {
+  for (int number = 1; number <= options.voters + options.spares; ++number) {
+    std::string name = group_name + std::to_string(number);
+    names_.push_back(name);
+    world_.machine(name, "zone");
+    machines_[name].name = name;
+    boot(name);
+  }
+}
+
+std::vector<std::string> cluster::addresses() const {
+  std::vector<std::string> list;
+  for (std::size_t number = 1; number <= names_.size(); ++number)
+    list.push_back(address_of(static_cast<int>(number)));
+  return list;
+}
+
+std::vector<std::string> cluster::storage_names() const { return names_; }
+storage_machine& cluster::storage(const std::string& name) { return machines_.at(name); }
+
+std::vector<reg::voter_place> cluster::founders(int count) const {
+  std::vector<reg::voter_place> places;
+  auto all = addresses();
+  for (std::size_t index = 0; index < static_cast<std::size_t>(count); ++index)
+    places.push_back({"", all[index], names_[index], "zone"});
+  return places;
+}
+
+void cluster::boot(const std::string& name) {
+  auto& machine = machines_.at(name);
+  if (world_.find(name).up) return;
+  std::string identity_before = machine.voter ? machine.voter->id() : "";
+  world_.boot(name);
+  auto port = make_port(world_, name);
+  std::size_t position = static_cast<std::size_t>(std::stoi(name.substr(std::string(group_name).size()))) - 1;
+  port.listen(addresses()[position]);
+  reg::voter_options choice;
+  choice.group = group_name;
+  choice.buckets = buckets;
+  choice.limit_bytes = disk_limit_bytes;
+  machine.voter = std::make_shared<reg::voter>(port, choice);
+  machine.losing_power = false;
+  auto runtime = world_.runtime_of(name);
+  runtime.spawn(open_voter(machine.voter, identity_before, lost_identities_));
+  runtime.spawn(repair(machine.voter));
+}
+
+void cluster::kill(const std::string& name, hsim::disk_loss loss) {
+  auto& machine = machines_.at(name);
+  if (!world_.find(name).up) return;
+  if (loss == hsim::disk_loss::all) lost_identities_->insert(machine.voter->id());
+  bool silent = loss != hsim::disk_loss::none;
+  world_.kill(name, loss, silent);
+}
+
+bool cluster::impaired(const reg::voter_place& place) const {
+  auto& machine = machines_.at(place.node);
+  auto& host = world_.find(place.node);
+  bool away = !host.up || host.frozen || machine.isolated || machine.losing_power;
+  return away || lost_identities_->count(place.id) > 0;
+}
+
+std::map<std::int64_t, std::vector<reg::view>> cluster::views_seen() const {
+  std::map<std::int64_t, std::vector<reg::view>> seen;
+  for (auto& [name, machine] : machines_) {
+    if (!world_.find(name).up) continue;
+    auto& installed = machine.voter->current();
+    if (installed.number > 0) seen[installed.number].push_back(installed);
+    auto accepted = machine.voter->accepted_value(reg::view_key_of(group_name));
+    if (!accepted) continue;
+    auto chosen = reg::view_from(*accepted);
+    if (chosen.number > 0) seen[chosen.number].push_back(chosen);
+  }
+  return seen;
+}
+
+std::vector<reg::view> cluster::relied_on() const {
+  // Views before the newest one that a quorum of its voters runs under can't take part any more.
+  std::int64_t base = 0;
+  auto seen = views_seen();
+  for (auto& [number, views] : seen) {
+    for (auto& each : views) {
+      std::set<std::string> installed;
+      for (auto& [name, machine] : machines_) {
+        bool runs = world_.find(name).up && machine.voter->current().number >= number;
+        if (runs) installed.insert(machine.voter->id());
+      }
+      if (each.quorum([&](const std::string& id) { return installed.count(id) > 0; })) base = number;
+    }
+  }
+  std::vector<reg::view> list;
+  for (auto entry = seen.lower_bound(base); entry != seen.end(); ++entry)
+    list.insert(list.end(), entry->second.begin(), entry->second.end());
+  return list;
+}
+
+bool cluster::may_lose(const std::string& name) const {
+  for (auto& each : relied_on()) {
+    for (auto* set : {&each.voters, &each.before}) {
+      std::size_t away = 0;
+      for (auto& place : *set) away += place.node == name || impaired(place) ? 1 : 0;
+      if (!set->empty() && away * 2 >= set->size()) return false;
+    }
+  }
+  return true;
+}
+
+reg::view cluster::newest_view() const {
+  auto seen = views_seen();
+  return seen.empty() ? reg::view{} : seen.rbegin()->second.front();
+}
+
+bool cluster::whole() const {
+  auto newest = newest_view();
+  if (newest.number == 0 || !newest.before.empty()) return false;
+  for (auto& place : newest.voters) {
+    if (impaired(place)) return false;
+    auto& voter = *machines_.at(place.node).voter;
+    if (voter.id() != place.id || voter.current() != newest) return false;
+  }
+  return true;
+}
+
+}  // namespace herontally::model
--- /dev/null
+++ b/tests/model/cluster.h
@@ -0,0 +1,57 @@
+// The simulated storage machines of a run, and the faults that they and the network can bear at once.
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+
+#include "hsim/world.h"
+#include "model/plan.h"
+#include "register/voter.h"
+
+namespace herontally::model {
+
+constexpr const char* group_name = "store";
+
+// One storage machine: its present voter and the faults that it suffers.
+struct storage_machine {
+  std::string name;
+  std::shared_ptr<reg::voter> voter;
+  bool isolated = false;
+  bool losing_power = false;
+};
+
+class cluster {
+ public:
+  cluster(hsim::world& world, const run_options& options);
+  std::vector<std::string> addresses() const;
+  std::vector<std::string> storage_names() const;
+  storage_machine& storage(const std::string& name);
+  // The places of the first `count` machines; their identities are asked for when the group begins.
+  std::vector<reg::voter_place> founders(int count) const;
+
+  void boot(const std::string& name);
+  void kill(const std::string& name, hsim::disk_loss loss);
+  // Whether the group must bear the loss of this machine together with what it suffers already: fewer than
+  // half of each voter set that may be relied on.
+  bool may_lose(const std::string& name) const;
+  // The newest view that a running voter has installed, or that it has accepted as the next one.
+  reg::view newest_view() const;
+  // Whether every voter of the newest view runs under it with the identity that it names, and no move is
+  // open.
+  bool whole() const;
+
+ private:
+  bool impaired(const reg::voter_place& place) const;
+  std::map<std::int64_t, std::vector<reg::view>> views_seen() const;
+  std::vector<reg::view> relied_on() const;
+
+  hsim::world& world_;
+  std::vector<std::string> names_;
+  std::map<std::string, storage_machine> machines_;
+  // Identities whose disk is gone; shared with the tasks that open voters.
+  std::shared_ptr<std::set<std::string>> lost_identities_ = std::make_shared<std::set<std::string>>();
+};
+
+wire::port make_port(hsim::world& world, const std::string& machine);
+
+}  // namespace herontally::model
--- /dev/null
+++ b/tests/model/injector.cc
@@ -0,0 +1,193 @@
+#include "model/injector.h"
+
+namespace herontally::model {
+
+namespace {
+
+constexpr std::int64_t millisecond = 1000;
+constexpr std::int64_t longest_outage = 1500 * millisecond;
+constexpr std::uint64_t messages_until_freeze = 12, writes_until_power_loss = 6;
+constexpr std::int64_t most_clock_step = 6000 * millisecond;
+constexpr double slow_share = 0.3, duplicate_share = 0.15, lost_share = 0.15;
+constexpr std::int64_t most_extra_delay = 700 * millisecond;
+
+}  // namespace
+
+injector::injector(hsim::world& world, cluster& group, std::vector<std::string> clients,
+                   std::function<void(const std::string&)> start_client)
+    : world_(world), group_(group), clients_(std::move(clients)), start_client_(std::move(start_client)) {
+  world_.net().most_extra = most_extra_delay;
+}
+
+int injector::injected() const { return static_cast<int>(story_.size()); }
+const std::vector<std::string>& injector::story() const { return story_; }
+
+void injector::note(const fault& each, const std::string& whom) {
+  story_.push_back(std::to_string(world_.now()) + " us: " + name_of(each.kind) + " of " + whom + " for " +
+                   std::to_string(each.length) + " us");
+}
+
+void injector::after(std::int64_t length, std::function<void()> end) {
+  ends_.emplace(world_.now() + length, std::move(end));
+}
+
+void injector::run_until(std::int64_t moment) {
+  while (!ends_.empty() && ends_.begin()->first <= moment) {
+    auto next = ends_.extract(ends_.begin());
+    if (next.key() > world_.now()) world_.run_for(next.key() - world_.now());
+    next.mapped()();
+  }
+  if (moment > world_.now()) world_.run_for(moment - world_.now());
+}
+
+void injector::run(const run_plan& plan) {
+  auto begin = world_.now();
+  for (auto& each : plan.faults) {
+    if (each.at > plan.span) break;
+    run_until(begin + each.at);
+    inject(each);
+  }
+  run_until(begin + plan.span);
+}
+
+void injector::heal() {
+  auto ends = std::exchange(ends_, {});
+  for (auto& [moment, end] : ends) end();
+  world_.heal_all();
+  for (auto& name : clients_) {
+    world_.find(name).sends_until_freeze = 0;
+    world_.wake(name);
+  }
+}
+
+void injector::inject(const fault& each) {
+  auto voters = group_.storage_names();
+  auto& voter = voters[each.pick % voters.size()];
+  auto& client = clients_[each.pick % clients_.size()];
+  switch (each.kind) {
+    case fault_kind::crash:
+    case fault_kind::power_loss:
+    case fault_kind::power_at_write:
+    case fault_kind::disk_loss:
+    case fault_kind::freeze_voter:
+    case fault_kind::isolate_voter:
+      return inject_into_voter(each, voter);
+    case fault_kind::freeze_client:
+    case fault_kind::freeze_sender:
+    case fault_kind::crash_client:
+      return inject_into_client(each, client);
+    case fault_kind::cut_link:
+      return cut_link(each);
+    case fault_kind::clock_step:
+      return step_clock(each);
+    case fault_kind::slow_network:
+    case fault_kind::duplicate_messages:
+    case fault_kind::lose_messages:
+      return inject_into_network(each);
+  }
+}
+
+void injector::inject_into_voter(const fault& each, const std::string& name) {
+  auto& host = world_.find(name);
+  auto& machine = group_.storage(name);
+  bool troubled = !host.up || host.frozen || machine.isolated || machine.losing_power;
+  if (troubled || !group_.may_lose(name)) return;
+  note(each, name);
+  auto outage = std::min(each.length, longest_outage);
+  if (each.kind == fault_kind::freeze_voter) {
+    world_.freeze(name);
+    return after(each.length, [this, name] { world_.wake(name); });
+  }
+  if (each.kind == fault_kind::isolate_voter) return isolate(each, name);
+  auto restart = [this, name] { group_.boot(name); };
+  if (each.kind == fault_kind::power_at_write) {
+    // The power goes at one of the next writes; until the process is gone too it answers nothing more.
+    host.disk.crash_after = 1 + static_cast<int>(each.pick / 64 % writes_until_power_loss);
+    machine.losing_power = true;
+    return after(outage, [this, name, restart] {
+      group_.kill(name, hsim::disk_loss::unsynced);
+      world_.find(name).disk.crash_after = -1;
+      restart();
+    });
+  }
+  bool lost = each.kind == fault_kind::disk_loss, power = each.kind == fault_kind::power_loss;
+  group_.kill(name, lost ? hsim::disk_loss::all : power ? hsim::disk_loss::unsynced : hsim::disk_loss::none);
+  after(outage, restart);
+}
+
+void injector::isolate(const fault& each, const std::string& name) {
+  std::vector<std::string> others = group_.storage_names();
+  others.insert(others.end(), clients_.begin(), clients_.end());
+  // Both ways, or only what it sends, or only what it is sent.
+  bool inward = each.pick / 64 % 3 != 0, outward = each.pick / 64 % 3 != 1;
+  for (auto& other : others) {
+    if (inward) world_.cut(other, name);
+    if (outward) world_.cut(name, other);
+  }
+  group_.storage(name).isolated = true;
+  after(each.length, [this, name, others] {
+    for (auto& other : others) {
+      world_.heal(other, name);
+      world_.heal(name, other);
+    }
+    group_.storage(name).isolated = false;
+  });
+}
+
+void injector::cut_link(const fault& each) {
+  auto voters = group_.storage_names();
+  auto voter = voters[each.pick % voters.size()];
+  auto client = clients_[each.pick / 64 % clients_.size()];
+  bool outward = each.pick / 4096 % 2 == 0;
+  auto from = outward ? client : voter, to = outward ? voter : client;
+  note(each, from + " to " + to);
+  world_.cut(from, to);
+  after(each.length, [this, from, to] { world_.heal(from, to); });
+}
+
+void injector::inject_into_client(const fault& each, const std::string& name) {
+  auto& host = world_.find(name);
+  if (!host.up || host.frozen || host.sends_until_freeze > 0) return;
+  note(each, name);
+  if (each.kind == fault_kind::crash_client) {
+    world_.kill(name, hsim::disk_loss::none);
+    return after(std::min(each.length, longest_outage), [this, name] { restart_client(name); });
+  }
+  if (each.kind == fault_kind::freeze_client) world_.freeze(name);
+  if (each.kind == fault_kind::freeze_sender)
+    host.sends_until_freeze = 1 + static_cast<int>(each.pick / 64 % messages_until_freeze);
+  after(each.length, [this, name] {
+    world_.find(name).sends_until_freeze = 0;
+    world_.wake(name);
+  });
+}
+
+void injector::restart_client(const std::string& name) {
+  world_.boot(name);
+  start_client_(name);
+}
+
+void injector::step_clock(const fault& each) {
+  auto names = group_.storage_names();
+  names.insert(names.end(), clients_.begin(), clients_.end());
+  auto name = names[each.pick % names.size()];
+  auto step = static_cast<std::int64_t>(each.pick / 64 % (2 * most_clock_step)) - most_clock_step;
+  note(each, name + " by " + std::to_string(step) + " us");
+  world_.find(name).wall_skew += step;
+  after(each.length, [this, name, step] { world_.find(name).wall_skew -= step; });
+}
+
+void injector::inject_into_network(const fault& each) {
+  auto& net = world_.net();
+  double& share = each.kind == fault_kind::slow_network         ? net.slow
+                  : each.kind == fault_kind::duplicate_messages ? net.twice
+                                                                : net.lost;
+  if (share > 0) return;
+  note(each, "the network");
+  share = each.kind == fault_kind::slow_network         ? slow_share
+          : each.kind == fault_kind::duplicate_messages ? duplicate_share
+                                                        : lost_share;
+  after(each.length, [&share] { share = 0; });
+}
+
+}  // namespace herontally::model
--- /dev/null
+++ b/tests/model/main.cc
@@ -0,0 +1,175 @@
+// The model test of the replicated register: the product's proposers, voters, moves, fill, repair and disks
+// in a simulated world, under faults from a seed, with every key's history checked for linearizability.
+#include <absl/flags/flag.h>
+#include <stdio.h>
+
+#include <chrono>
+#include <sstream>
+
+#include "logging/logging.h"
+#include "model/shrink.h"
+#include "runtime/breaks.h"
+#include "settings/settings.h"
+
+ABSL_FLAG(std::string, seeds, "1..100", "seeds to run, as A..B");
+ABSL_FLAG(int, voters, 3, "voters of the group: 3 or 5");
+ABSL_FLAG(int, spares, 2, "storage machines beside the voters");
+ABSL_FLAG(std::uint64_t, variation, 0, "another order of messages under the same faults");
+ABSL_FLAG(std::int64_t, span_ms, 0, "virtual time until the writers stop; 0: as the seed says");
+ABSL_FLAG(std::string, faults, "", "only these faults of the plan, as 0,3,7; none: no faults; empty: all");
+ABSL_FLAG(bool, story, false, "print each run's faults");
+ABSL_FLAG(bool, shrink, true, "look for a shorter run that fails in the same way");
+ABSL_FLAG(int, failures, 3, "failing seeds after which the rest is not run");
+ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
+ABSL_FLAG(std::string, expect, "", "with --broken: the violation that must be noticed; empty: any");
+
+using namespace herontally;
+
+namespace {
+
+constexpr int exit_well = 0, exit_violated = 1, exit_usage = 2;
+constexpr std::int64_t microseconds_in_millisecond = 1000;
+
+const char* usage_text =
+    "register_model: checks the replicated register under seeded schedules of faults\n\n"
+    "Usage: register_model --seeds A..B [--voters N] [--spares N] [--story] [--broken NAME --expect KIND]\n\n"
+    "A failing seed prints the command that repeats it, and that of the shortest failing run found.\n"
+    "Kinds: not linearizable, undecided, not readable, not whole, not begun.\n"
+    "Exit codes: 0 all well, 1 a seed failed or a break was not noticed, 2 bad usage.\n";
+
+struct seed_range {
+  std::uint64_t first = 0, last = 0;
+};
+
+std::optional<seed_range> parse_seeds(const std::string& text) {
+  seed_range range;
+  char dots[3] = "";
+  unsigned long long first = 0, last = 0;
+  bool whole = sscanf(text.c_str(), "%llu%2[.]%llu", &first, dots, &last) == 3;
+  if (!whole || first > last) return std::nullopt;
+  range.first = first;
+  range.last = last;
+  return range;
+}
+
+std::vector<int> parse_positions(const std::string& text) {
+  std::vector<int> positions;
+  std::stringstream parts(text == "none" ? "" : text);
+  for (std::string part; std::getline(parts, part, ',');) positions.push_back(atoi(part.c_str()));
+  return positions;
+}
+
+model::run_options options_from_flags() {
+  model::run_options options;
+  options.voters = absl::GetFlag(FLAGS_voters);
+  options.spares = absl::GetFlag(FLAGS_spares);
+  options.variation = absl::GetFlag(FLAGS_variation);
+  options.story = absl::GetFlag(FLAGS_story);
+  auto span = absl::GetFlag(FLAGS_span_ms);
+  if (span > 0) options.span = span * microseconds_in_millisecond;
+  auto faults = absl::GetFlag(FLAGS_faults);
+  options.all_faults = faults.empty();
+  options.only_faults = parse_positions(faults);
+  return options;
+}
+
+void print_failure(const model::run_options& options, const model::run_result& result) {
+  auto& failure = *result.failure;
+  printf("seed %llu: %s\n  %s\n", static_cast<unsigned long long>(options.seed),
+         model::name_of(failure.kind).c_str(), failure.what.c_str());
+  printf("  repeat: %s\n", model::command_of(options).c_str());
+}
+
+void print_story(const model::run_result& result) {
+  for (auto& line : result.story) printf("  %s\n", line.c_str());
+}
+
+void print_shrunk(const model::run_options& options, const model::run_result& result) {
+  auto shorter = model::shrink(options, result);
+  printf("shortest failing run found in %d tries, with %d faults:\n", shorter.tried, shorter.result.faults);
+  print_failure(shorter.options, shorter.result);
+  print_story(shorter.result);
+}
+
+struct totals {
+  int runs = 0, failures = 0, operations = 0, acknowledged = 0, moves = 0, faults = 0;
+  void add(const model::run_result& result) {
+    runs += 1;
+    failures += result.failure ? 1 : 0;
+    operations += result.operations;
+    acknowledged += result.acknowledged;
+    moves += result.moves;
+    faults += result.faults;
+  }
+  void print(double seconds) const {
+    printf("%d runs, %d failed; %d operations, %d acknowledged sets, %d moves, %d faults; %.1f s\n", runs,
+           failures, operations, acknowledged, moves, faults, seconds);
+  }
+};
+
+int run_seeds(model::run_options options, seed_range range) {
+  totals sum;
+  auto begin = std::chrono::steady_clock::now();
+  for (auto seed = range.first; seed <= range.last; ++seed) {
+    options.seed = seed;
+    auto result = model::run_once(options);
+    sum.add(result);
+    if (options.story) print_story(result);
+    if (!result.failure) continue;
+    print_failure(options, result);
+    if (absl::GetFlag(FLAGS_shrink)) print_shrunk(options, result);
+    fflush(stdout);
+    if (sum.failures >= absl::GetFlag(FLAGS_failures)) break;
+  }
+  std::chrono::duration<double> spent = std::chrono::steady_clock::now() - begin;
+  sum.print(spent.count());
+  return sum.failures > 0 ? exit_violated : exit_well;
+}
+
+// With the mechanism whole no seed may fail; with it broken, one of them must.
+int show_break([[maybe_unused]] model::run_options options, [[maybe_unused]] seed_range range,
+               [[maybe_unused]] const std::string& mechanism) {
+#ifdef HERONTALLY_BREAKS
+  std::string expected = absl::GetFlag(FLAGS_expect);
+  for (auto seed = range.first; seed <= range.last; ++seed) {
+    options.seed = seed;
+    breaks().clear();
+    auto whole = model::run_once(options);
+    if (whole.failure) {
+      print_failure(options, whole);
+      printf("this seed fails without any break\n");
+      return exit_violated;
+    }
+    breaks().insert(mechanism);
+    auto result = model::run_once(options);
+    if (!result.failure) continue;
+    bool noticed = expected.empty() || model::name_of(result.failure->kind) == expected;
+    if (!noticed) continue;
+    printf("with \"%s\" broken:\n", mechanism.c_str());
+    print_failure(options, result);
+    if (absl::GetFlag(FLAGS_shrink)) print_shrunk(options, result);
+    return exit_well;
+  }
+  printf("nothing was noticed with \"%s\" broken\n", mechanism.c_str());
+  return exit_violated;
+#else
+  printf("this build has no breaks; use register_model_breaks\n");
+  return exit_usage;
+#endif
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  settings::parse_flags(argc, argv, usage_text);
+  logging::start("register_model", "OFF");
+  auto range = parse_seeds(absl::GetFlag(FLAGS_seeds));
+  auto options = options_from_flags();
+  bool usable = range && options.voters >= 1 && options.spares >= 0;
+  if (!usable) {
+    fputs(usage_text, stderr);
+    return exit_usage;
+  }
+  auto mechanism = absl::GetFlag(FLAGS_broken);
+  return mechanism.empty() ? run_seeds(options, *range) : show_break(options, *range, mechanism);
+}
--- /dev/null
+++ b/tests/model/plan.cc
@@ -0,0 +1,93 @@
+#include "model/plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace herontally::model {
+
+namespace {
+
+constexpr std::int64_t millisecond = 1000;
+constexpr std::int64_t shortest_span = 2500 * millisecond, longest_span = 7000 * millisecond;
+constexpr std::int64_t shortest_fault = 20 * millisecond, longest_fault = 2500 * millisecond;
+constexpr int fewest_faults = 4, most_faults = 14;
+
+// What tells most about the protocol comes most often.
+constexpr fault_kind choices[] = {
+    fault_kind::crash,         fault_kind::power_loss,    fault_kind::power_at_write,
+    fault_kind::disk_loss,     fault_kind::disk_loss,     fault_kind::disk_loss,
+    fault_kind::freeze_voter,  fault_kind::freeze_client, fault_kind::freeze_client,
+    fault_kind::freeze_sender, fault_kind::freeze_sender, fault_kind::freeze_sender,
+    fault_kind::crash_client,  fault_kind::isolate_voter, fault_kind::cut_link,
+    fault_kind::cut_link,      fault_kind::clock_step,    fault_kind::clock_step,
+    fault_kind::slow_network,  fault_kind::slow_network,  fault_kind::duplicate_messages,
+    fault_kind::lose_messages,
+};
+
+}  // namespace
+
+run_plan make_plan(const run_options& options) {
+  std::mt19937_64 random(options.seed * 2654435761u + static_cast<std::uint64_t>(options.voters));
+  auto draw = [&random](std::int64_t least, std::int64_t most) {
+    return least + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(most - least + 1));
+  };
+  run_plan plan;
+  plan.writers = static_cast<int>(draw(2, 3));
+  plan.movers = static_cast<int>(draw(1, 2));
+  plan.keys = static_cast<int>(draw(1, 2));
+  std::int64_t span = draw(shortest_span, longest_span);
+  auto count = draw(fewest_faults, most_faults);
+  for (std::int64_t number = 0; number < count; ++number) {
+    fault each;
+    each.kind = choices[random() % std::size(choices)];
+    each.at = draw(0, span);
+    each.length = draw(shortest_fault, longest_fault);
+    each.pick = random();
+    plan.faults.push_back(each);
+  }
+  auto earlier = [](const fault& left, const fault& right) { return left.at < right.at; };
+  std::stable_sort(plan.faults.begin(), plan.faults.end(), earlier);
+  if (!options.all_faults) {
+    std::vector<fault> kept;
+    for (int position : options.only_faults)
+      if (position >= 0 && position < count) kept.push_back(plan.faults[static_cast<std::size_t>(position)]);
+    plan.faults = std::move(kept);
+  }
+  plan.span = options.span.value_or(span);
+  return plan;
+}
+
+std::string name_of(fault_kind kind) {
+  switch (kind) {
+    case fault_kind::crash:
+      return "crash";
+    case fault_kind::power_loss:
+      return "power loss";
+    case fault_kind::power_at_write:
+      return "power loss at a write";
+    case fault_kind::disk_loss:
+      return "disk loss";
+    case fault_kind::freeze_voter:
+    case fault_kind::freeze_client:
+      return "freeze";
+    case fault_kind::freeze_sender:
+      return "freeze after a message";
+    case fault_kind::crash_client:
+      return "client crash";
+    case fault_kind::isolate_voter:
+      return "isolation";
+    case fault_kind::cut_link:
+      return "link cut";
+    case fault_kind::clock_step:
+      return "clock step";
+    case fault_kind::slow_network:
+      return "slow network";
+    case fault_kind::duplicate_messages:
+      return "duplicated messages";
+    case fault_kind::lose_messages:
+      return "lost messages";
+  }
+  return "";
+}
+
+}  // namespace herontally::model
--- /dev/null
+++ b/tests/model/run.cc
@@ -0,0 +1,178 @@
+#include "model/run.h"
+
+#include "model/clients.h"
+#include "model/injector.h"
+#include "register/change_view.h"
+
+namespace herontally::model {
+
+namespace {
+
+using runtime::second;
+
+constexpr runtime::microseconds begin_timeout = 5 * second;
+// A move may have to wait for a deadline of each of both movers, more than once.
+constexpr runtime::microseconds whole_timeout = 60 * second, read_timeout = 10 * second;
+constexpr runtime::microseconds last_operations = 3 * second;
+constexpr runtime::microseconds start_time = 50 * runtime::millisecond;
+constexpr const char* reader_name = "reader";
+constexpr const char* writer_prefix = "writer";
+constexpr const char* mover_prefix = "mover";
+
+class run {
+ public:
+  explicit run(const run_options& options)
+      : options_(options),
+        plan_(make_plan(options)),
+        world_(options.seed * 1000003 + options.variation),
+        group_(world_, options) {}
+
+  run_result execute() {
+    prepare();
+    if (!begin()) return failed(violation_kind::not_begun, "the group could not be begun");
+    for (auto& name : clients_) start(name);
+    injector faults(world_, group_, clients_, [this](const std::string& name) { start(name); });
+    faults.run(plan_);
+    faults.heal();
+    result_.faults = faults.injected();
+    result_.story = faults.story();
+    finish();
+    return result_;
+  }
+
+ private:
+  void prepare() {
+    context_->world = &world_;
+    context_->addresses = group_.addresses();
+    context_->storage_names = group_.storage_names();
+    context_->keys = plan_.keys;
+    for (int number = 1; number <= plan_.writers; ++number)
+      clients_.push_back(writer_prefix + std::to_string(number));
+    for (int number = 1; number <= plan_.movers; ++number)
+      clients_.push_back(mover_prefix + std::to_string(number));
+    for (auto& name : clients_) boot(name);
+    boot(reader_name);
+    // A voter takes messages once its disk is ready.
+    world_.run_for(start_time);
+  }
+
+  void boot(const std::string& name) {
+    world_.machine(name, "zone");
+    world_.boot(name);
+  }
+
+  void start(const std::string& name) {
+    auto proposer = make_proposer(context_, name);
+    bool writes = name.rfind(writer_prefix, 0) == 0;
+    auto program = writes ? write_forever(context_, name, proposer) : move_forever(context_, proposer);
+    world_.runtime_of(name).spawn(std::move(program));
+  }
+
+  // The group's first view, installed and written under its own key.
+  static runtime::task<> begin_group(reg::proposer founder, std::vector<reg::voter_place> voters,
+                                     std::shared_ptr<std::optional<bool>> done) {
+    auto deadline = founder.port().runtime().now() + begin_timeout;
+    auto begun = co_await reg::begin_group(founder.port(), group_name, voters, deadline);
+    auto* first = std::get_if<reg::view>(&begun);
+    *done = first != nullptr;
+    if (!first) co_return;
+    founder.learn(*first);
+    std::string text = reg::view_text(*first);
+    reg::mutator lay = [text](const std::optional<std::string>&) { return std::optional<std::string>(text); };
+    auto written = co_await founder.change(reg::view_key_of(group_name), lay, deadline);
+    *done = written.end == reg::change_end::settled;
+  }
+
+  bool begin() {
+    auto done = std::make_shared<std::optional<bool>>();
+    auto founder = make_proposer(context_, reader_name);
+    auto program = begin_group(founder, group_.founders(options_.voters), done);
+    world_.runtime_of(reader_name).spawn(std::move(program));
+    return world_.run_until([&] { return done->has_value(); }, 2 * begin_timeout) && **done;
+  }
+
+  // Without faults the movers bring the group back to full strength and every key can be read.
+  void finish() {
+    context_->writing = false;
+    context_->moving = false;
+    world_.run_for(last_operations);
+    bool whole = world_.run_until([this] { return group_.whole(); }, whole_timeout);
+    bool readable = read_all_keys();
+    count();
+    check_histories();
+    if (result_.failure) return;
+    if (!readable) fail(violation_kind::not_readable, "a key can't be read after the faults");
+    if (!whole) fail(violation_kind::not_whole, "newest view: " + reg::view_text(group_.newest_view()));
+  }
+
+  bool read_all_keys() {
+    auto done = std::make_shared<std::optional<bool>>();
+    auto read = [](shared_context context, std::shared_ptr<std::optional<bool>> done) -> runtime::task<> {
+      auto reader = make_proposer(context, reader_name);
+      auto deadline = reader.port().runtime().now() + read_timeout;
+      bool all = co_await read_all(context, reader_name, reader, deadline);
+      *done = all;
+    };
+    world_.runtime_of(reader_name).spawn(read(context_, done));
+    return world_.run_until([&] { return done->has_value(); }, 2 * read_timeout) && **done;
+  }
+
+  void check_histories() {
+    for (auto& [key, history] : context_->histories) {
+      auto checked = check_linearizable(history);
+      if (checked.found == verdict::linearizable) continue;
+      bool violated = checked.found == verdict::violated;
+      fail(violated ? violation_kind::not_linearizable : violation_kind::undecided,
+           key + ": " + checked.explanation);
+      for (auto& each : history) result_.story.push_back(key + ": " + describe(each));
+    }
+  }
+
+  void count() {
+    result_.moves = context_->moves_finished;
+    for (auto& [key, history] : context_->histories) {
+      for (auto& each : history) {
+        result_.operations += 1;
+        result_.acknowledged += each.kind == operation_kind::set ? 1 : 0;
+      }
+    }
+  }
+
+  void fail(violation_kind kind, std::string what) {
+    if (!result_.failure) result_.failure = violation{kind, std::move(what)};
+  }
+  run_result failed(violation_kind kind, std::string what) {
+    fail(kind, std::move(what));
+    return result_;
+  }
+
+  run_options options_;
+  run_plan plan_;
+  shared_context context_ = std::make_shared<client_context>();
+  std::vector<std::string> clients_;
+  run_result result_;
+  hsim::world world_;
+  cluster group_;
+};
+
+}  // namespace
+
+run_result run_once(const run_options& options) { return run(options).execute(); }
+
+std::string name_of(violation_kind kind) {
+  switch (kind) {
+    case violation_kind::not_linearizable:
+      return "not linearizable";
+    case violation_kind::undecided:
+      return "undecided";
+    case violation_kind::not_readable:
+      return "not readable";
+    case violation_kind::not_whole:
+      return "not whole";
+    case violation_kind::not_begun:
+      return "not begun";
+  }
+  return "";
+}
+
+}  // namespace herontally::model
