Model: faults that begin with the next move and end with it

Cause: faults at drawn moments seldom fall into the joint view, which lasts some tens of milliseconds. Change: a third of the faults wait for the next joint view; half end when it does.

--- a/tests/model/cluster.cc
+++ b/tests/model/cluster.cc
@@ -139,6 +139,18 @@
   return seen.empty() ? reg::view{} : seen.rbegin()->second.front();
 }
 
+bool cluster::move_open() const {
+  std::int64_t newest = 0;
+  bool open = false;
+  for (auto& [name, machine] : machines_) {
+    auto& installed = machine.voter->current();
+    if (!world_.find(name).up || installed.number < newest) continue;
+    newest = installed.number;
+    open = !installed.before.empty();
+  }
+  return open;
+}
+
 bool cluster::whole() const {
   auto newest = newest_view();
   if (newest.number == 0 || !newest.before.empty()) return false;
--- a/tests/model/cluster.h
+++ b/tests/model/cluster.h
@@ -36,6 +36,8 @@
   bool may_lose(const std::string& name) const;
   // The newest view that a running voter has installed, or that it has accepted as the next one.
   reg::view newest_view() const;
+  // Whether the newest view that a running voter has installed is a joint one.
+  bool move_open() const;
   // Whether every voter of the newest view runs under it with the identity that it names, and no move is
   // open.
   bool whole() const;
--- a/tests/model/injector.cc
+++ b/tests/model/injector.cc
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::int64_t millisecond = 1000;
+// How often the moves are looked at.
+constexpr std::int64_t step = 1 * millisecond;
 constexpr std::int64_t longest_outage = 1500 * millisecond;
 constexpr std::uint64_t messages_until_freeze = 12, writes_until_power_loss = 6;
 constexpr std::int64_t most_clock_step = 6000 * millisecond;
@@ -24,20 +26,45 @@
 
 void injector::note(const fault& each, const std::string& whom) {
   story_.push_back(std::to_string(world_.now()) + " us: " + name_of(each.kind) + " of " + whom + " for " +
-                   std::to_string(each.length) + " us");
+                   std::to_string(each.length) + " us" +
+                   (each.until_move_ends ? " or until the move ends" : ""));
 }
 
-void injector::after(std::int64_t length, std::function<void()> end) {
-  ends_.emplace(world_.now() + length, std::move(end));
+void injector::after(const fault& each, std::int64_t length, std::function<void()> end) {
+  auto once = [ended = std::make_shared<bool>(false), end = std::move(end)] {
+    if (!std::exchange(*ended, true)) end();
+  };
+  ends_.emplace(world_.now() + length, once);
+  if (each.until_move_ends) move_ends_.push_back(once);
+}
+
+// Begins the faults that wait for a move, and ends those that last as long as one.
+void injector::follow_move() {
+  bool open = group_.move_open();
+  bool changed = open != std::exchange(move_was_open_, open);
+  if (!changed) return;
+  if (open) {
+    // Not all at once, so that later moves have their share.
+    if (waiting_for_move_.empty()) return;
+    auto next = waiting_for_move_.front();
+    waiting_for_move_.erase(waiting_for_move_.begin());
+    inject(next);
+    return;
+  }
+  for (auto& end : std::exchange(move_ends_, {})) end();
 }
 
 void injector::run_until(std::int64_t moment) {
-  while (!ends_.empty() && ends_.begin()->first <= moment) {
-    auto next = ends_.extract(ends_.begin());
-    if (next.key() > world_.now()) world_.run_for(next.key() - world_.now());
-    next.mapped()();
+  while (world_.now() < moment) {
+    auto next = std::min(moment, world_.now() + step);
+    if (!ends_.empty()) next = std::min(next, std::max(ends_.begin()->first, world_.now()));
+    world_.run_for(next - world_.now());
+    follow_move();
+    while (!ends_.empty() && ends_.begin()->first <= world_.now()) {
+      auto due = ends_.extract(ends_.begin());
+      due.mapped()();
+    }
   }
-  if (moment > world_.now()) world_.run_for(moment - world_.now());
 }
 
 void injector::run(const run_plan& plan) {
@@ -45,7 +72,10 @@
   for (auto& each : plan.faults) {
     if (each.at > plan.span) break;
     run_until(begin + each.at);
-    inject(each);
+    if (each.at_move)
+      waiting_for_move_.push_back(each);
+    else
+      inject(each);
   }
   run_until(begin + plan.span);
 }
@@ -96,7 +126,7 @@
   auto outage = std::min(each.length, longest_outage);
   if (each.kind == fault_kind::freeze_voter) {
     world_.freeze(name);
-    return after(each.length, [this, name] { world_.wake(name); });
+    return after(each, each.length, [this, name] { world_.wake(name); });
   }
   if (each.kind == fault_kind::isolate_voter) return isolate(each, name);
   auto restart = [this, name] { group_.boot(name); };
@@ -104,7 +134,7 @@
     // The power goes at one of the next writes; until the process is gone too it answers nothing more.
     host.disk.crash_after = 1 + static_cast<int>(each.pick / 64 % writes_until_power_loss);
     machine.losing_power = true;
-    return after(outage, [this, name, restart] {
+    return after(each, outage, [this, name, restart] {
       group_.kill(name, hsim::disk_loss::unsynced);
       world_.find(name).disk.crash_after = -1;
       restart();
@@ -112,7 +142,7 @@
   }
   bool lost = each.kind == fault_kind::disk_loss, power = each.kind == fault_kind::power_loss;
   group_.kill(name, lost ? hsim::disk_loss::all : power ? hsim::disk_loss::unsynced : hsim::disk_loss::none);
-  after(outage, restart);
+  after(each, outage, restart);
 }
 
 void injector::isolate(const fault& each, const std::string& name) {
@@ -125,7 +155,7 @@
     if (outward) world_.cut(name, other);
   }
   group_.storage(name).isolated = true;
-  after(each.length, [this, name, others] {
+  after(each, each.length, [this, name, others] {
     for (auto& other : others) {
       world_.heal(other, name);
       world_.heal(name, other);
@@ -142,7 +172,7 @@
   auto from = outward ? client : voter, to = outward ? voter : client;
   note(each, from + " to " + to);
   world_.cut(from, to);
-  after(each.length, [this, from, to] { world_.heal(from, to); });
+  after(each, each.length, [this, from, to] { world_.heal(from, to); });
 }
 
 void injector::inject_into_client(const fault& each, const std::string& name) {
@@ -151,12 +181,12 @@
   note(each, name);
   if (each.kind == fault_kind::crash_client) {
     world_.kill(name, hsim::disk_loss::none);
-    return after(std::min(each.length, longest_outage), [this, name] { restart_client(name); });
+    return after(each, std::min(each.length, longest_outage), [this, name] { restart_client(name); });
   }
   if (each.kind == fault_kind::freeze_client) world_.freeze(name);
   if (each.kind == fault_kind::freeze_sender)
     host.sends_until_freeze = 1 + static_cast<int>(each.pick / 64 % messages_until_freeze);
-  after(each.length, [this, name] {
+  after(each, each.length, [this, name] {
     world_.find(name).sends_until_freeze = 0;
     world_.wake(name);
   });
@@ -187,7 +217,7 @@
   share = each.kind == fault_kind::slow_network         ? slow_share
           : each.kind == fault_kind::duplicate_messages ? duplicate_share
                                                         : lost_share;
-  after(each.length, [&share] { share = 0; });
+  after(each, each.length, [&share] { share = 0; });
 }
 
 }  // namespace herontally::model
--- a/tests/model/injector.h
+++ b/tests/model/injector.h
@@ -27,7 +27,9 @@
   void cut_link(const fault& each);
   void isolate(const fault& each, const std::string& name);
   void step_clock(const fault& each);
-  void after(std::int64_t length, std::function<void()> end);
+  // Calls `end` once, when the fault is over.
+  void after(const fault& each, std::int64_t length, std::function<void()> end);
+  void follow_move();
   void restart_client(const std::string& name);
   void note(const fault& each, const std::string& whom);
   void run_until(std::int64_t moment);
@@ -37,6 +39,9 @@
   std::vector<std::string> clients_;
   std::function<void(const std::string&)> start_client_;
   std::multimap<std::int64_t, std::function<void()>> ends_;
+  std::vector<fault> waiting_for_move_;
+  std::vector<std::function<void()>> move_ends_;
+  bool move_was_open_ = false;
   std::vector<std::string> story_;
 };
 
--- a/tests/model/plan.cc
+++ b/tests/model/plan.cc
@@ -46,6 +46,8 @@
     auto shortest = shortest_fault << draw(0, doublings);
     each.length = draw(shortest, 2 * shortest);
     each.pick = random();
+    each.at_move = random() % 3 == 0;
+    each.until_move_ends = random() % 2 == 0;
     plan.faults.push_back(each);
   }
   auto earlier = [](const fault& left, const fault& right) { return left.at < right.at; };
--- a/tests/model/plan.h
+++ b/tests/model/plan.h
@@ -28,6 +28,8 @@
   fault_kind kind = fault_kind::crash;
   std::int64_t at = 0, length = 0;  // microseconds
   std::uint64_t pick = 0;           // chooses whom it hits
+  bool at_move = false;             // begins when the next move is installed somewhere
+  bool until_move_ends = false;     // ends with the move, if that is sooner
 };
 
 struct run_options {
