--- a/src/hsim/world.h
+++ b/src/hsim/world.h
@@ -47,7 +47,9 @@
   double slow = 0;  // part of the messages that take up to `most_extra` more
   microseconds most_extra = 20000;
   double twice = 0;  // part of the inner messages that arrive a second time, up to 2 s later
-  double lost = 0;   // part of the inner requests and of their answers that never arrive
+  // What a message takes longer on some links, by sender and receiver.
+  std::map<std::pair<std::string, std::string>, microseconds> link_delays;
+  double lost = 0;  // part of the inner requests and of their answers that never arrive
   std::int64_t messages = 0, bytes = 0;
 };
 
--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -37,6 +37,8 @@
   }
   // An ordered stream has chosen its moment of arrival already.
   auto delay = not_before > now ? not_before - now : latency();
+  auto slow_link = net.link_delays.find({from, to});
+  if (slow_link != net.link_delays.end()) delay += slow_link->second;
   // Nothing overtakes what was held back on the same link.
   auto floor = floors.find({from, to});
   if (floor != floors.end() && floor->second >= now + delay) delay = ++floor->second - now;
--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -1,6 +1,7 @@
 #include "register/change_view.h"
 
 #include "register/proposer_state.h"
+#include "runtime/breaks.h"
 
 namespace herontally::reg {
 
@@ -97,6 +98,7 @@
 
 // The newcomer fetches for itself, many records a message; what it must not take over is settled here.
 static task<bool> fill(proposer group, view joint, microseconds deadline) {
+  if (broken("fill")) co_return true;
   std::vector<voter_place> arriving;
   for (auto& place : joint.voters) {
     bool was = false;
@@ -133,7 +135,7 @@
   std::int64_t expected = next.number - 1;
   auto mutate = [next, expected](const std::optional<std::string>& current) -> std::optional<std::string> {
     view now = current ? view_from(*current) : view{};
-    if (now.number != expected) return std::nullopt;
+    if (now.number != expected && !broken("view_number")) return std::nullopt;
     return view_text(next);
   };
   auto result = co_await catalog.change(view_key_of(next.group), mutate, deadline, true);
--- a/src/register/voter_serve.cc
+++ b/src/register/voter_serve.cc
@@ -15,7 +15,8 @@
   wire::voter_receipt receipt;
   receipt.verdict = identity_check(self->id, question.voter);
   // Only the view that this voter has installed counts: whoever holds another one is told which.
-  if (receipt.verdict.empty() && question.view != self->current.number) receipt.verdict = "view";
+  bool other_view = question.view != self->current.number && !broken("view");
+  if (receipt.verdict.empty() && other_view) receipt.verdict = "view";
   if (!self->current.voters.empty()) receipt.view = view_text(self->current);
   if (self->wiping || !self->opened) receipt.verdict = "failed";
   if (!receipt.verdict.empty()) co_return receipt;
@@ -40,7 +41,8 @@
     auto bytes = holder.read(overlay, record);
     cell content = bytes ? cell::unpack(*bytes) : cell{};
     // The view may have moved on while the command waited.
-    if (self->current.number != asked_view || self->wiping) {
+    bool moved_on = self->current.number != asked_view && !broken("view");
+    if (moved_on || self->wiping) {
       receipt.verdict = "view";
     } else if (question.step == "prepare" && (question.ballot > content.promised || broken("promise"))) {
       content.promised = question.ballot;
@@ -156,10 +158,18 @@
   return receipt;
 }
 
+static bool stays(const view& chosen, const std::string& id) {
+  for (auto& place : chosen.voters)
+    if (place.id == id) return true;
+  return false;
+}
+
 task<bool> voter::state::install(view chosen) {
   auto self = shared_from_this();
   if (chosen.number <= current.number) co_return chosen.number == current.number&& chosen == current;
-  if (!chosen.has(id)) {
+  bool left_out = !chosen.has(id);
+  if (broken("early_wipe")) left_out = left_out || !stays(chosen, id);
+  if (left_out) {
     // Left out by a chosen view: what is kept here may be stale, and must never vote again.
     if (current.number == 0) co_return false;
     wiping = true;
--- a/tests/model/cluster.h
+++ b/tests/model/cluster.h
@@ -38,12 +38,16 @@
   reg::view newest_view() const;
   // Whether the newest view that a running voter has installed is a joint one.
   bool move_open() const;
+  // One line for each machine: its identity and the view that it has installed.
+  std::vector<std::string> describe() const;
   // Whether every voter of the newest view runs under it with the identity that it names, and no move is
   // open.
   bool whole() const;
 
  private:
   bool impaired(const reg::voter_place& place) const;
+  bool relies_on(const std::string& name) const;
+  std::size_t recent_spare_losses() const;
   std::map<std::int64_t, std::vector<reg::view>> views_seen() const;
   std::vector<reg::view> relied_on() const;
 
@@ -52,6 +56,8 @@
   std::map<std::string, storage_machine> machines_;
   // Identities whose disk is gone; shared with the tasks that open voters.
   std::shared_ptr<std::set<std::string>> lost_identities_ = std::make_shared<std::set<std::string>>();
+  // When spares lost their disks: a mover may be about to name one of them as a voter.
+  std::vector<runtime::microseconds> spare_losses_;
 };
 
 wire::port make_port(hsim::world& world, const std::string& machine);
