--- a/tests/model/clients.h
+++ b/tests/model/clients.h
@@ -18,7 +18,7 @@
   bool writing = true;  // writers go on
   bool moving = true;   // movers also move the group without need
   int next_value = 1;
-  std::int64_t epoch = 0;
+  std::int64_t epoch = 0;  // of the mover that took its duty last
   int moves_finished = 0;
   std::map<std::string, std::vector<operation>> histories;
 };
--- a/tests/model/mover.cc
+++ b/tests/model/mover.cc
@@ -14,7 +14,7 @@
 constexpr runtime::microseconds look_timeout = 300 * millisecond, view_timeout = 1 * second;
 constexpr runtime::microseconds move_timeout = 6 * second;
 constexpr int looks_until_lost = 2;
-constexpr std::uint64_t passes_for_each_unneeded_move = 2;
+constexpr std::uint64_t passes_for_each_unneeded_move = 2, passes_for_each_abandoned_move = 6;
 
 // What one storage machine answers when it is asked who it is; nothing when it doesn't.
 struct machine_seen {
@@ -25,6 +25,7 @@
 struct mover {
   shared_context context;
   reg::proposer group;
+  std::int64_t epoch = 0;
   std::map<std::string, machine_seen> seen;  // by node
   std::map<std::string, int> silent;         // looks without an answer, by voter
 };
@@ -69,38 +70,63 @@
   return list;
 }
 
-std::optional<reg::voter_place> pick(mover& self, std::vector<reg::voter_place> from) {
+std::optional<reg::voter_place> take_any(mover& self, std::vector<reg::voter_place>& from) {
   if (from.empty()) return std::nullopt;
-  return from[self.group.port().runtime().draw(from.size())];
+  auto chosen = from.begin() + static_cast<std::ptrdiff_t>(self.group.port().runtime().draw(from.size()));
+  auto place = *chosen;
+  from.erase(chosen);
+  return place;
 }
 
-// Who is to leave: a lost voter, or now and then one that is well.
-std::optional<reg::voter_place> leaving_voter(mover& self, const reg::view& agreed) {
-  std::vector<reg::voter_place> lost;
-  for (auto& voter : agreed.voters)
-    if (is_lost(self, voter)) lost.push_back(voter);
-  if (!lost.empty()) return pick(self, lost);
-  bool unneeded =
-      self.context->moving && self.group.port().runtime().draw(passes_for_each_unneeded_move) == 0;
-  return unneeded ? pick(self, agreed.voters) : std::nullopt;
+// The voters that the group should have: lost ones are replaced, and now and then one that is well.
+std::vector<reg::voter_place> wanted_voters(mover& self, const reg::view& agreed) {
+  auto wanted = agreed.voters;
+  auto free = spares(self, agreed);
+  bool replaced = false;
+  for (auto& voter : wanted) {
+    if (!is_lost(self, voter)) continue;
+    auto arriving = take_any(self, free);
+    if (!arriving) continue;
+    voter = *arriving;
+    replaced = true;
+  }
+  bool unneeded = !replaced && self.context->moving &&
+                  self.group.port().runtime().draw(passes_for_each_unneeded_move) == 0;
+  auto arriving = unneeded ? take_any(self, free) : std::nullopt;
+  if (arriving) wanted[self.group.port().runtime().draw(wanted.size())] = *arriving;
+  return wanted;
+}
+
+// Now and then an open move is given up without need.
+bool gives_up(mover& self, const reg::view& agreed) {
+  return agreed.joint() && self.context->moving &&
+         self.group.port().runtime().draw(passes_for_each_abandoned_move) == 0;
+}
+
+runtime::task<> finish(shared_mover self) {
+  auto deadline = self->group.port().runtime().now() + move_timeout;
+  bool done = co_await reg::finish_move(self->group, self->group, deadline);
+  self->context->moves_finished += done ? 1 : 0;
 }
 
 runtime::task<> pass(shared_mover self) {
   auto runtime = self->group.port().runtime();
   auto agreed = co_await reg::agreed_view(self->group, group_name, runtime.now() + view_timeout);
   if (!agreed || agreed->number == 0) co_return;
-  if (!agreed->before.empty() || agreed->number > self->group.current().number) {
-    bool done = co_await reg::finish_move(self->group, self->group, runtime.now() + move_timeout);
-    self->context->moves_finished += done ? 1 : 0;
-    co_return;
-  }
   co_await look_around(self);
-  auto leaving = leaving_voter(*self, *agreed);
-  auto arriving = pick(*self, spares(*self, *agreed));
-  if (!leaving || !arriving) co_return;
-  reg::replacement wanted{leaving->id, *arriving};
-  auto result = co_await reg::replace_voter(self->group, self->group, wanted, runtime.now() + move_timeout);
-  self->context->moves_finished += std::holds_alternative<reg::view>(result) ? 1 : 0;
+  auto wanted = wanted_voters(*self, *agreed);
+  if (gives_up(*self, *agreed)) wanted = agreed->before;
+  if (!reg::view::same_members(wanted, agreed->voters)) {
+    auto begun =
+        co_await reg::begin_move(self->group, self->group, wanted, self->epoch, runtime.now() + move_timeout);
+    bool superseded = begun.index() == 1 && std::get<1>(begun) == reg::move_error::superseded;
+    // As a duty holder does that learns of another one: its next duty has a higher epoch.
+    if (superseded) self->epoch = ++self->context->epoch;
+    if (begun.index() == 1) co_return;
+    agreed = std::get<0>(begun);
+  }
+  bool open = agreed->joint() || agreed->number > self->group.current().number;
+  if (open) co_await finish(self);
 }
 
 }  // namespace
@@ -113,7 +139,7 @@
 
 runtime::task<> move_forever(shared_context context, reg::proposer group) {
   auto runtime = group.port().runtime();
-  auto self = std::make_shared<mover>(mover{context, group, {}, {}});
+  auto self = std::make_shared<mover>(mover{context, group, ++context->epoch, {}, {}});
   while (true) {
     co_await runtime.sleep(pause_least + static_cast<runtime::microseconds>(runtime.draw(pause_more)));
     co_await pass(self);
