--- a/tests/model/cluster.cc
+++ b/tests/model/cluster.cc
@@ -185,6 +185,15 @@
   return lines;
 }
 
+bool cluster::spares_usable() const {
+  auto newest = newest_view();
+  for (auto& [name, machine] : machines_) {
+    bool votes = newest.has(machine.voter->id());
+    if (!votes && machine.voter->current().number > 0) return false;
+  }
+  return true;
+}
+
 bool cluster::whole() const {
   auto newest = newest_view();
   if (newest.number == 0 || !newest.before.empty()) return false;
--- a/tests/model/cluster.h
+++ b/tests/model/cluster.h
@@ -40,6 +40,8 @@
   bool move_open() const;
   // One line for each machine: its identity and the view that it has installed.
   std::vector<std::string> describe() const;
+  // Whether every machine that is no voter may become one: empty, with no view.
+  bool spares_usable() const;
   // Whether every voter of the newest view runs under it with the identity that it names, and no move is
   // open.
   bool whole() const;
--- a/tests/model/main.cc
+++ b/tests/model/main.cc
@@ -34,7 +34,7 @@
     "register_model: checks the replicated register under seeded schedules of faults\n\n"
     "Usage: register_model --seeds A..B [--voters N] [--spares N] [--story] [--broken NAME --expect KIND]\n\n"
     "A failing seed prints the command that repeats it, and that of the shortest failing run found.\n"
-    "Kinds: not linearizable, undecided, not readable, not whole, not begun.\n"
+    "Kinds: not linearizable, undecided, not readable, not whole, spares unusable, not begun.\n"
     "Exit codes: 0 all well, 1 a seed failed or a break was not noticed, 2 bad usage.\n";
 
 struct seed_range {
--- a/tests/model/mover.cc
+++ b/tests/model/mover.cc
@@ -1,6 +1,7 @@
 #include "model/clients.h"
 #include "model/cluster.h"
 #include "register/change_view.h"
+#include "register/view_install.h"
 
 namespace herontally::model {
 
@@ -20,6 +21,7 @@
 struct machine_seen {
   reg::voter_place place;
   bool empty = false;
+  bool has_view = false;
 };
 
 struct mover {
@@ -38,7 +40,7 @@
   auto* receipt = std::get_if<wire::identify_receipt>(&result);
   if (receipt && !receipt->voter.empty()) {
     bool empty = receipt->empty && receipt->view.empty();
-    self->seen[node] = machine_seen{{receipt->voter, address, node, "zone"}, empty};
+    self->seen[node] = machine_seen{{receipt->voter, address, node, "zone"}, empty, !receipt->view.empty()};
   }
   box.push(true);
 }
@@ -109,11 +111,24 @@
   self->context->moves_finished += done ? 1 : 0;
 }
 
+// A machine that a move has left out while it was out of reach is told, so that it wipes itself.
+void tell_outdated(mover& self, const reg::view& agreed) {
+  if (agreed.joint()) return;
+  auto tell = [](wire::port port, reg::voter_place place, reg::view agreed) -> runtime::task<> {
+    co_await reg::install_at(port, place, agreed);
+  };
+  for (auto& [node, each] : self.seen) {
+    bool outdated = each.has_view && !agreed.has(each.place.id);
+    if (outdated) self.group.port().runtime().spawn(tell(self.group.port(), each.place, agreed));
+  }
+}
+
 runtime::task<> pass(shared_mover self) {
   auto runtime = self->group.port().runtime();
   auto agreed = co_await reg::agreed_view(self->group, group_name, runtime.now() + view_timeout);
   if (!agreed || agreed->number == 0) co_return;
   co_await look_around(self);
+  tell_outdated(*self, *agreed);
   auto wanted = wanted_voters(*self, *agreed);
   if (gives_up(*self, *agreed)) wanted = agreed->before;
   if (!reg::view::same_members(wanted, agreed->voters)) {
--- a/tests/model/run.cc
+++ b/tests/model/run.cc
@@ -12,7 +12,8 @@
 
 constexpr runtime::microseconds begin_timeout = 5 * second;
 // A move may have to wait for a deadline of each of both movers, more than once.
-constexpr runtime::microseconds whole_timeout = 40 * second, read_timeout = 10 * second;
+constexpr runtime::microseconds whole_timeout = 40 * second, read_timeout = 10 * second,
+                                spares_timeout = 10 * second;
 constexpr runtime::microseconds last_operations = 3 * second;
 constexpr runtime::microseconds start_time = 50 * runtime::millisecond;
 constexpr const char* reader_name = "reader";
@@ -98,12 +99,14 @@
     context_->moving = false;
     world_.run_for(last_operations);
     bool whole = world_.run_until([this] { return group_.whole(); }, whole_timeout);
+    bool usable = world_.run_until([this] { return group_.spares_usable(); }, spares_timeout);
     bool readable = read_all_keys();
     count();
     check_histories();
     if (result_.failure) return;
     if (!readable) fail(violation_kind::not_readable, "a key can't be read after the faults");
     if (!whole) fail(violation_kind::not_whole, "newest view: " + reg::view_text(group_.newest_view()));
+    if (!usable) fail(violation_kind::spares_unusable, "a machine keeps what it can't vote with");
   }
 
   bool read_all_keys() {
@@ -172,6 +175,8 @@
       return "not readable";
     case violation_kind::not_whole:
       return "not whole";
+    case violation_kind::spares_unusable:
+      return "spares unusable";
     case violation_kind::not_begun:
       return "not begun";
   }
--- a/tests/model/run.h
+++ b/tests/model/run.h
@@ -4,7 +4,14 @@
 
 namespace herontally::model {
 
-enum class violation_kind { not_linearizable, undecided, not_readable, not_whole, not_begun };
+enum class violation_kind {
+  not_linearizable,
+  undecided,
+  not_readable,
+  not_whole,
+  spares_unusable,
+  not_begun
+};
 
 struct violation {
   violation_kind kind;
