--- a/src/hsim/world_net.cc
+++ b/src/hsim/world_net.cc
@@ -11,6 +11,10 @@
   return time;
 }
 
+bool world::state::is_lost() {
+  return net.lost > 0 && static_cast<double>(random() % 10000) < net.lost * 10000;
+}
+
 struct machine* world::state::listening(const std::string& address) {
   auto found = by_address.find(address);
   if (found == by_address.end()) return nullptr;
@@ -33,6 +37,8 @@
   }
   // An ordered stream has chosen its moment of arrival already.
   auto delay = not_before > now ? not_before - now : latency();
+  auto slow_link = net.link_delays.find({from, to});
+  if (slow_link != net.link_delays.end()) delay += slow_link->second;
   // Nothing overtakes what was held back on the same link.
   auto floor = floors.find({from, to});
   if (floor != floors.end() && floor->second >= now + delay) delay = ++floor->second - now;
@@ -55,7 +61,7 @@
 static void send_answer(const std::weak_ptr<world::state>& weak, const std::shared_ptr<message_call>& call,
                         std::string answer) {
   auto here = weak.lock();
-  if (!here) return;
+  if (!here || here->is_lost()) return;
   auto bytes = answer.size();
   auto arrive = [call, answer = std::move(answer)] {
     if (answer.empty())
@@ -111,6 +117,7 @@
       if (auto world = weak.lock()) world->carry(call->caller, call->callee, call->callee_life, arrive, 0);
     });
   }
+  if (here->is_lost()) return;
   here->carry(call->caller, call->callee, call->callee_life, std::move(arrive), payload.size());
 }
 
