psim: five voters with two losses at once, an isolated core, a zone without power

The simulated site can have the size that bears two losses: five cores and eight stores. New kinds: a core cut off from cores and stores for 22 s, still reached by edges and operators that change and race; a zone without power.

--- a/tests/platform_site.cc
+++ b/tests/platform_site.cc
@@ -16,7 +16,7 @@
 
 static std::string agent_of(const std::string& edge) { return edge + ":agent"; }
 
-site::site(hsim::world& where, oracle& judge) : where_(where), judge_(judge) {
+site::site(hsim::world& where, oracle& judge, int losses) : where_(where), judge_(judge), losses_(losses) {
   for (auto* name : {"clients", "operator", "platform"}) {
     where_.machine(name, "");
     where_.boot(name);
@@ -54,7 +54,8 @@
   if (place.role == "edge")
     text += "ingress = \"" + ingress(place.name) + "\"\nreadiness = \"" + place.ip + ":8141\"\n";
   if (place.role == "core") text += "control = \"" + control(place.name) + "\"\n";
-  return text + "[caps]\ndisk_mb = 320\nmemory_mb = 260\n[bounds]\ngrace_s = 8\ndrain_ms = 3000\n" +
+  return text + "[fault_budget]\nmachines = " + std::to_string(losses_) + "\nzones = 1\n" +
+         "[caps]\ndisk_mb = 320\nmemory_mb = 260\n[bounds]\ngrace_s = 8\ndrain_ms = 3000\n" +
          "[provider]\nendpoint = \"" + platform_address + "\"\nrate_per_s = 40.0\nlag_ms = 800\n";
 }
 
@@ -101,10 +102,7 @@
   bool edge = places_.at(name).role == "edge";
   for (auto& each : {name, agent_of(name)}) {
     if (each != name && !edge) continue;
-    if (on)
-      where_.freeze(each);
-    else
-      where_.wake(each);
+    on ? where_.freeze(each) : where_.wake(each);
   }
 }
 
@@ -119,6 +117,14 @@
     }
   }
 }
+void site::isolate(const std::string& name) {
+  judge_.trouble(name);
+  for (auto& [other, place] : places_) {
+    if (other == name || place.role == "edge") continue;
+    where_.cut(name, other);
+    where_.cut(other, name);
+  }
+}
 void site::heal(const std::string& name) {
   for (auto& other : where_.names())
     for (auto& own : {name, agent_of(name)}) {
@@ -212,12 +218,13 @@
 }
 
 bool site::begin() {
-  for (int number = 0; number < 3; ++number) add("core", zones[number]);
-  for (int number = 0; number < 3; ++number) add("store", zones[number]);
+  int cores = 2 * losses_ + 1, stores = losses_ == 1 ? 3 : 4 * losses_;
+  for (int number = 0; number < cores; ++number) add("core", zones[number % 3]);
+  for (int number = 0; number < stores; ++number) add("store", zones[number % 3]);
   for (int number = 0; number < 5; ++number) add("edge", zones[number % 3]);
   for (int number = 0; number < 6; ++number) add_engine("models", zones[number % 3], "");
-  for (int number = 0; number < 3; ++number) add_engine("apps_a", zones[number % 3], "");
-  for (int number = 0; number < 3; ++number) add_engine("apps_b", zones[number % 3], "");
+  for (auto* service : {"apps_a", "apps_b"})
+    for (auto* zone : zones) add_engine(service, zone, "");
   for (auto& [machine, life] : lives_) life->cold_until = -1;
   for (auto& [name, each] : places_) {
     missed_[name] = 2;
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -35,7 +35,8 @@
 
 class site {
  public:
-  site(hsim::world& where, oracle& judge);
+  // `losses`: how many machines that keep data may be lost at once; it decides how many there are.
+  site(hsim::world& where, oracle& judge, int losses = 1);
   // Boots all, sends the first configuration and waits until every edge machine is ready.
   bool begin();
   void boot(const std::string& name);
@@ -45,6 +46,8 @@
   void roll(const std::string& name);
   // Cuts a machine off from all others, or one way only.
   void cut_off(const std::string& name, bool both_ways);
+  // Cuts a core off from the other cores and the stores alone: its edges and the operator still reach it.
+  void isolate(const std::string& name);
   void heal(const std::string& name);
   std::string add(const std::string& role, const std::string& zone);
   void take_away(const std::string& name);
@@ -111,6 +114,7 @@
   std::vector<std::string> bootstrap_;
   std::deque<microseconds> listings_;
   bool founded_ = false;
+  int losses_ = 1;
   std::array<connection, 24> connections_;
   int names_ = 0, attempts_ = 0, generation_ = 0, marker_ = 0;
   std::map<std::string, int> hosts_;
--- a/tests/platform_site_faults.cc
+++ b/tests/platform_site_faults.cc
@@ -2,6 +2,7 @@
 #include "platform_site_faults.h"
 
 #include <algorithm>
+#include <set>
 
 namespace herontally::psim {
 
@@ -12,7 +13,8 @@
       "core_replace", "store_kill",         "store_power", "store_freeze", "store_roll",     "store_cut",
       "store_wipe",   "store_replace",      "store_add",   "store_retire", "engine_release", "engine_crash",
       "engine_chill", "engine_mischief",    "evacuate",    "change",       "amend",          "race",
-      "invalid",      "acknowledged_power", "all_power",   "all_kill",     "disk_lost"};
+      "invalid",      "acknowledged_power", "all_power",   "all_kill",     "disk_lost",      "zone_power",
+      "core_isolated"};
   return kinds;
 }
 
@@ -68,7 +70,7 @@
   co_await place->change_zone(zone, false);
 }
 
-static void change(site& place, const std::string& kind) {
+void change(site& place, const std::string& kind) {
   auto runtime = place.where().runtime_of("operator");
   auto next = place.next_version(place.current);
   if (kind == "invalid") {
@@ -86,6 +88,34 @@
   if (kind == "race") spawn(place.next_version(place.current), true);
 }
 
+// All machines of a zone go without power and come back together, whatever else was under way.
+static void lose_zone(site& place) {
+  auto& where = place.where();
+  std::string zone = zones[where.draw(3)];
+  place.tell("power of " + zone);
+  std::vector<std::string> lost;
+  for (auto* role : {"core", "store", "edge"})
+    for (auto& name : place.of_role(role))
+      if (place.zone_of(name) == zone && !place.judge().in_trouble(name)) lost.push_back(name);
+  for (auto& name : lost) place.kill(name, hsim::disk_loss::unsynced, true);
+  where.at(where.now() + 1500 * millisecond, [&place, lost] {
+    for (auto& name : lost) place.boot(name);
+  });
+}
+
+// A core without its like for a long time, while operators go on, also with it.
+static void isolate_core(site& place) {
+  auto& where = place.where();
+  auto name = one_of(place, place.of_role("core"));
+  if (place.judge().in_trouble(name)) return;
+  place.tell("isolated " + name);
+  place.isolate(name);
+  for (int each = 1; each <= 5; ++each)
+    where.at(where.now() + each * 4 * second,
+             [&place, each] { change(place, each % 2 ? "race" : "change"); });
+  where.at(where.now() + isolation, [&place, name] { place.heal(name); });
+}
+
 void strike(site& place, const std::string& kind) {
   auto runtime = place.where().runtime_of("operator");
   auto line = kind.find('_');
@@ -96,6 +126,10 @@
   } else if (kind == "store_retire") {
     if (place.of_role("store").size() < 4) place.boot(place.add("store", zones[place.where().draw(3)]));
     runtime.spawn(place.retire(one_of(place, place.of_role("store"))));
+  } else if (kind == "zone_power") {
+    lose_zone(place);
+  } else if (kind == "core_isolated") {
+    isolate_core(place);
   } else if (role == "edge" || role == "core" || role == "store") {
     strike_machine(place, role, what);
   } else if (kind == "engine_mischief") {
@@ -116,18 +150,27 @@
   }
 }
 
-void closing_fault(site& place, const std::string& kind) {
+// Machines that keep data, drawn without a repeat.
+static std::set<std::string> draw_losses(site& place, int count) {
+  std::vector<std::string> holders = place.of_role("core");
+  for (auto& name : place.of_role("store")) holders.push_back(name);
+  std::set<std::string> lost;
+  while (lost.size() < static_cast<std::size_t>(count)) lost.insert(one_of(place, holders));
+  return lost;
+}
+
+void closing_fault(site& place, const std::string& kind, int losses) {
   auto& where = place.where();
   place.tell("closing fault: " + kind);
   place.judge().closing_fault();
   std::vector<std::string> all;
   for (auto* role : {"edge", "core", "store"})
     for (auto& name : place.of_role(role)) all.push_back(name);
-  auto lost = kind == "disk_lost" ? one_of(place, place.of_role(where.draw(2) ? "core" : "store")) : "";
-  if (!lost.empty()) place.tell("the disk of " + lost + " is lost");
+  auto lost = draw_losses(place, kind == "disk_lost" ? losses : 0);
+  for (auto& name : lost) place.tell("the disk of " + name + " is lost");
   for (auto& name : all)
     place.kill(name,
-               name == lost         ? hsim::disk_loss::all
+               lost.count(name)     ? hsim::disk_loss::all
                : kind == "all_kill" ? hsim::disk_loss::none
                                     : hsim::disk_loss::unsynced,
                kind != "all_kill");
@@ -136,59 +179,4 @@
   place.judge().machines_back();
 }
 
-static bool is_closing(const std::string& kind) {
-  return kind == "all_power" || kind == "all_kill" || kind == "disk_lost";
-}
-// How long a fault may last until the next one may strike a core or store: its time, and to become whole.
-static bool holds_data(const std::string& kind) {
-  return kind.compare(0, 4, "core") == 0 || kind.compare(0, 5, "store") == 0 || kind == "acknowledged_power";
-}
-
-run_report run_scenario(const run_options& choice) {
-  hsim::world world(choice.seed);
-  oracle judge(world);
-  site place(world, judge);
-  run_report report;
-  if (!place.begin()) judge.violations.push_back({"BEGIN", "the site does not come up", world.now()});
-  std::vector<std::string> kinds, closing;
-  for (auto& kind : choice.only.empty() ? fault_kinds() : choice.only)
-    (is_closing(kind) ? closing : kinds).push_back(kind);
-  bool closes = !closing.empty() && (!choice.only.empty() || world.draw(2));
-  auto end = world.now() + 300 * second;
-  place.offer(end);
-  world.run_for(4 * second);
-  microseconds free = world.now();
-  for (int number = 0; number < choice.faults && !kinds.empty(); ++number) {
-    auto kind = kinds[world.draw(kinds.size())];
-    bool data = holds_data(kind);
-    if (data && world.now() < free) world.run_for(free - world.now());
-    place.tell(kind);
-    strike(place, kind);
-    if (data) free = world.now() + (kind == "store_retire" ? 20 : 14) * second;
-    world.run_for((300 + static_cast<microseconds>(world.draw(3500))) * millisecond);
-  }
-  if (world.now() < free) world.run_for(free - world.now());
-  world.run_for(8 * second);
-  if (closes) {
-    // An acknowledgement just before must outlast it.
-    change(place, "change");
-    auto before = place.current;
-    world.run_until([&] { return place.current > before; }, 5 * second);
-    closing_fault(place, closing[world.draw(closing.size())]);
-    world.run_for(recovery + 8 * second);
-    judge.judge_recovery();
-  }
-  std::string body;
-  auto status = std::make_shared<int>(-1);
-  world.runtime_of("operator").spawn([](site* self, std::string* body, std::shared_ptr<int> out) -> task<> {
-    *out = co_await self->call("GET", "/-/config/read", "", "", body, 8 * second);
-  }(&place, &body, status));
-  world.run_until([&] { return *status >= 0; }, 20 * second);
-  judge.read_back(body, *status);
-  report.violations = judge.violations;
-  report.story = place.story;
-  report.counts = judge.counts;
-  return report;
-}
-
 }  // namespace herontally::psim
--- a/tests/platform_site_faults.h
+++ b/tests/platform_site_faults.h
@@ -8,6 +8,7 @@
   std::uint64_t seed = 1;
   std::vector<std::string> only;
   int faults = 8;
+  int losses = 1;  // machines that keep data lost at once
 };
 struct run_report {
   std::vector<violation> violations;
@@ -16,9 +17,13 @@
 };
 
 const std::vector<std::string>& fault_kinds();
-// The site's one loss at a time among cores and stores: nothing is struck there before the last one is whole.
+// Nothing is struck among cores and stores before the last loss there, or the last ones, are whole again.
 void strike(site& where, const std::string& kind);
-void closing_fault(site& where, const std::string& kind);
+// A change of the configuration by the operator: "change", "amend", "race" or "invalid".
+void change(site& where, const std::string& kind);
+// How long a core is kept from its like.
+constexpr microseconds isolation = 22 * second;
+void closing_fault(site& where, const std::string& kind, int losses);
 run_report run_scenario(const run_options& choice);
 
 }  // namespace herontally::psim
--- a/tests/psim/main.cc
+++ b/tests/psim/main.cc
@@ -12,6 +12,7 @@
 ABSL_FLAG(std::string, seeds, "1..1", "seeds to run, as A..B");
 ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
 ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
+ABSL_FLAG(std::int64_t, losses, 1, "machines that keep data to be lost at once: 1 or 2");
 ABSL_FLAG(bool, verbose, false, "print each run's faults and counts");
 ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
 ABSL_FLAG(std::string, expect, "", "with --broken: the rule whose violation must be noticed");
@@ -21,7 +22,8 @@
 static const char* usage_text =
     "psim: runs the product on the users' platform in virtual time, from seeds, with faults, by their "
     "rules\n\n"
-    "Usage: psim --seeds A..B [--only KIND,...] [--faults N] [--verbose] [--broken NAME --expect RULE]\n\n"
+    "Usage: psim --seeds A..B [--only KIND,...] [--faults N] [--losses N] [--verbose] [--broken NAME "
+    "--expect RULE]\n\n"
     "Example:\n  psim --seeds 1..40 --only edge_roll,change\n";
 
 // With the mechanism whole no seed breaks a rule; with it broken, some seed breaks the rule that it protects.
@@ -65,6 +67,8 @@
   std::uint64_t first = std::stoull(seeds.substr(0, dots)), last = std::stoull(seeds.substr(dots + 2));
   psim::run_options choice;
   choice.faults = static_cast<int>(absl::GetFlag(FLAGS_faults));
+  choice.losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
+  if (choice.losses < 1 || choice.losses > 2) settings::end_with("psim", {"--losses", "must be 1 or 2"});
   std::string only = absl::GetFlag(FLAGS_only);
   for (std::size_t begin = 0; begin < only.size();) {
     auto end = std::min(only.find(',', begin), only.size());
@@ -90,10 +94,12 @@
     }
     if (report.violations.empty()) continue;
     ++failed;
-    printf("seed %llu breaks rules %zu times; replay: psim --seeds %llu..%llu --faults %d%s%s --verbose\n",
-           static_cast<unsigned long long>(seed), report.violations.size(),
-           static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed), choice.faults,
-           only.empty() ? "" : " --only ", only.c_str());
+    printf(
+        "seed %llu breaks rules %zu times; replay: psim --seeds %llu..%llu --faults %d --losses %d%s%s "
+        "--verbose\n",
+        static_cast<unsigned long long>(seed), report.violations.size(),
+        static_cast<unsigned long long>(seed), static_cast<unsigned long long>(seed), choice.faults,
+        choice.losses, only.empty() ? "" : " --only ", only.c_str());
     std::size_t shown = 0;
     for (auto& each : report.violations)
       if (shown++ < 6)
