Rename flight, eyes, strike and bury to the field's terms

A rename alone: simengine's flight is an active_request (track_request, active_requests), the watcher that a simulated client is given an observer, strike_lender and strike_after_reply say what they do (fail_lender, lose_power_after_reply), members declares dead.

--- a/src/hsim/faults.cc
+++ b/src/hsim/faults.cc
@@ -54,15 +54,15 @@
   if (kind == "twice") self.send_twice();
   if (kind == "upgrade") self.upgrade();
   if (kind == "pair") self.replace_and_lose_zone();
-  if (kind == "lender") self.strike_lender();
-  if (kind == "reply") self.strike_after_reply();
+  if (kind == "lender") self.fail_lender();
+  if (kind == "reply") self.lose_power_after_reply();
   if (kind == "await") self.freeze_at_await();
 }
 
 void faults::reply_received() {
   if (!state_->on_next_reply) return;
-  auto strike = std::exchange(state_->on_next_reply, nullptr);
-  strike();
+  auto action = std::exchange(state_->on_next_reply, nullptr);
+  action();
 }
 
 void faults::end_all() {
--- a/src/hsim/faults_aimed.cc
+++ b/src/hsim/faults_aimed.cc
@@ -141,7 +141,7 @@
 }
 
 // At each stage of a pull: when it arrives at the lender, when it begins at the borrower, some time later.
-void faults::state::strike_lender() {
+void faults::state::fail_lender() {
   auto stage = pick({"arrive-pull", "borrow"});
   auto how = w().draw(4);
   auto wait = span(0, 0.02);
@@ -168,7 +168,7 @@
 }
 
 // Power goes the moment something was acknowledged: at one machine with a disk, or at all of them.
-void faults::state::strike_after_reply() {
+void faults::state::lose_power_after_reply() {
   bool all = w().draw(2);
   tell(std::string("power goes at the next reply, at ") + (all ? "all disks" : "one disk"));
   on_next_reply = [self = shared_from_this(), all] {
--- a/src/hsim/faults_state.h
+++ b/src/hsim/faults_state.h
@@ -148,8 +148,8 @@
   void upgrade();
   void corrupt_disk();
   void send_twice();
-  void strike_lender();
-  void strike_after_reply();
+  void fail_lender();
+  void lose_power_after_reply();
   void freeze_at_await();
 };
 
--- a/src/hsim/measure_site.cc
+++ b/src/hsim/measure_site.cc
@@ -54,8 +54,8 @@
     traffic.seconds = seconds;
     traffic.crowd = crowd;
     traffic.crowd_at_second = crowd > 0 ? 0 : -1;
-    herontally::simcaller::watcher eyes;
-    eyes.turn = [this](const seen_turn& seen) {
+    herontally::simcaller::watcher observer;
+    observer.turn = [this](const seen_turn& seen) {
       if (seen.end == "complete") {
         ++complete;
         first.push_back(seen.first_piece_seconds);
@@ -67,10 +67,10 @@
       }
     };
     place.callers().spawn([](rt::handle runtime, herontally::simcaller::options traffic,
-                             herontally::simcaller::watcher eyes, bench* out) -> rt::task<> {
-      out->report = co_await herontally::simcaller::run(runtime, traffic, eyes);
+                             herontally::simcaller::watcher observer, bench* out) -> rt::task<> {
+      out->report = co_await herontally::simcaller::run(runtime, traffic, observer);
       out->ended = true;
-    }(place.callers(), traffic, eyes, this));
+    }(place.callers(), traffic, observer, this));
   }
   void finish() {
     where.run_until([this] { return ended; }, 400 * rt::second);
--- a/src/hsim/measure_times.cc
+++ b/src/hsim/measure_times.cc
@@ -30,13 +30,13 @@
   traffic.doors = place.doors();
   traffic.requests_per_second = rate;
   traffic.seconds = 60;
-  herontally::simcaller::watcher eyes;
-  eyes.begin = [&judge](const auto& asked) { judge.turn_begins(asked); };
-  eyes.turn = [&judge](const auto& seen) { judge.turn_seen(seen); };
+  herontally::simcaller::watcher observer;
+  observer.begin = [&judge](const auto& asked) { judge.turn_begins(asked); };
+  observer.turn = [&judge](const auto& seen) { judge.turn_seen(seen); };
   place.callers().spawn([](rt::handle runtime, herontally::simcaller::options traffic,
-                           herontally::simcaller::watcher eyes) -> rt::task<> {
-    co_await herontally::simcaller::run(runtime, traffic, eyes);
-  }(place.callers(), traffic, eyes));
+                           herontally::simcaller::watcher observer) -> rt::task<> {
+    co_await herontally::simcaller::run(runtime, traffic, observer);
+  }(place.callers(), traffic, observer));
 }
 
 bool serves(site& place, const std::string& tail) {
--- a/src/hsim/oracle_engines.cc
+++ b/src/hsim/oracle_engines.cc
@@ -46,7 +46,7 @@
   auto cap = herontally::placement::ramped(cold, most, age, engine.warm_seconds);
   std::int64_t count = 0;
   std::string from;
-  for (auto& each : what.flights) {
+  for (auto& each : what.active) {
     auto& sender = where.find(each.peer.substr(0, each.peer.rfind(':')));
     bool counts = sender.up && !sender.frozen && sender.booted <= each.sent;
     count += counts ? 1 : 0;
--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -9,18 +9,18 @@
 using herontally::simcaller::seen_call;
 using herontally::simcaller::seen_turn;
 
-static herontally::simcaller::watcher eyes_of(oracle& judge, faults* trouble) {
-  herontally::simcaller::watcher eyes;
-  eyes.begin = [&judge](const seen_turn& asked) { judge.turn_begins(asked); };
-  eyes.turn = [&judge, trouble](const seen_turn& seen) {
+static herontally::simcaller::watcher observer_of(oracle& judge, faults* trouble) {
+  herontally::simcaller::watcher observer;
+  observer.begin = [&judge](const seen_turn& asked) { judge.turn_begins(asked); };
+  observer.turn = [&judge, trouble](const seen_turn& seen) {
     judge.turn_seen(seen);
     if (trouble && (seen.end == "complete" || seen.status == 402)) trouble->reply_received();
   };
-  eyes.call = [&judge, trouble](const seen_call& seen) {
+  observer.call = [&judge, trouble](const seen_call& seen) {
     judge.call_seen(seen);
     if (trouble && (seen.status == 200 || seen.ran == "no")) trouble->reply_received();
   };
-  return eyes;
+  return observer;
 }
 
 std::optional<site_options> deployment(const std::string& name) {
@@ -40,8 +40,8 @@
 };
 
 static rt::task<> offer_load(rt::handle runtime, herontally::simcaller::options traffic,
-                             herontally::simcaller::watcher eyes, load_run* out) {
-  auto report = co_await herontally::simcaller::run(runtime, traffic, eyes);
+                             herontally::simcaller::watcher observer, load_run* out) {
+  auto report = co_await herontally::simcaller::run(runtime, traffic, observer);
   out->report[traffic.shape] = report;
   ++out->finished;
 }
@@ -63,7 +63,7 @@
     traffic.timeout_seconds = timeout;
     traffic.crowd_at_second = static_cast<double>(5 + where.draw(20));
     traffic.crowd = static_cast<std::int64_t>(where.draw(4) ? where.draw(60) : 200 + where.draw(300));
-    place.callers().spawn(offer_load(place.callers(), traffic, eyes_of(judge, &trouble), &load));
+    place.callers().spawn(offer_load(place.callers(), traffic, observer_of(judge, &trouble), &load));
   }
 }
 
--- a/src/members/members_state.h
+++ b/src/members/members_state.h
@@ -117,20 +117,20 @@
     hear(suspected);
   }
 
-  void bury() {
+  void declare_dead() {
     auto now = port.runtime().now();
-    std::vector<wire::member> buried;
+    std::vector<wire::member> declared;
     for (auto entry = rows.begin(); entry != rows.end();) {
       auto& each = entry->second;
       if (each.entry.status == "suspect" && now - each.since > pace.suspicion) {
-        buried.push_back(each.entry);
-        buried.back().status = "dead";
+        declared.push_back(each.entry);
+        declared.back().status = "dead";
       }
       bool gone = !is_live(each.entry) && now - each.since > pace.forget;
       if (gone) ++version;
       entry = gone ? rows.erase(entry) : std::next(entry);
     }
-    for (auto& each : buried) hear(each);
+    for (auto& each : declared) hear(each);
   }
 
   std::optional<wire::member> next_target() {
--- a/src/members/probing.cc
+++ b/src/members/probing.cc
@@ -52,7 +52,7 @@
   microseconds next_full = 0, begun = here->port.runtime().now();
   std::size_t seed = 0;
   while (!here->leaving) {
-    here->bury();
+    here->declare_dead();
     auto target = here->next_target();
     if (target) here->port.runtime().spawn(check(here, *target));
     auto now = here->port.runtime().now();
--- a/src/simcaller/load.cc
+++ b/src/simcaller/load.cc
@@ -34,7 +34,7 @@
 struct session {
   runtime::handle runtime;
   options choice;
-  watcher eyes;
+  watcher observer;
   shape kind;
   std::shared_ptr<tally> counts = std::make_shared<tally>();
 
@@ -56,7 +56,7 @@
       counts->whole.push_back(seen.seconds);
       counts->tokens += seen.tokens;
     }
-    if (eyes.turn) eyes.turn(seen);
+    if (observer.turn) observer.turn(seen);
   }
   void note(const seen_call& seen) const {
     ++counts->calls;
@@ -68,7 +68,7 @@
       ++counts->calls_unknown;
     else
       ++counts->refusals["call " + std::to_string(seen.status) + " ran " + seen.ran];
-    if (eyes.call) eyes.call(seen);
+    if (observer.call) observer.call(seen);
   }
 };
 
@@ -93,12 +93,12 @@
     bool complete = false;
     // A client comes back when it is told to, a few times.
     for (int attempt = 0; attempt < 4 && !complete; ++attempt) {
-      if (here.eyes.begin) {
+      if (here.observer.begin) {
         seen_turn asked;
         asked.program = name;
         asked.turn = turn;
         asked.prompt = prompt;
-        here.eyes.begin(asked);
+        here.observer.begin(asked);
       }
       auto seen = co_await take_turn(here.runtime, here.door(), here.kind.partner, name, turn, prompt, 64,
                                      here.choice.timeout_seconds);
@@ -134,8 +134,8 @@
 
 }  // namespace
 
-task<json> run(runtime::handle runtime, options choice, watcher eyes) {
-  session here{runtime, choice, eyes, shape_of(choice.shape)};
+task<json> run(runtime::handle runtime, options choice, watcher observer) {
+  session here{runtime, choice, observer, shape_of(choice.shape)};
   auto begun = runtime.now();
   auto until = begun + static_cast<microseconds>(choice.seconds * second);
   bool crowded = choice.crowd_at_second < 0;
--- a/src/simcaller/load.h
+++ b/src/simcaller/load.h
@@ -42,6 +42,6 @@
 runtime::task<seen_call> make_call(runtime::handle runtime, std::string door, std::string partner,
                                    std::string route, std::string key, std::string body, double timeout);
 // Runs the whole load and returns its report.
-runtime::task<nlohmann::json> run(runtime::handle runtime, options choice, watcher eyes);
+runtime::task<nlohmann::json> run(runtime::handle runtime, options choice, watcher observer);
 
 }  // namespace herontally::simcaller
--- a/src/simcaller/main.cc
+++ b/src/simcaller/main.cc
@@ -47,8 +47,8 @@
   runtime::real loop("");
   int code = 0;
   auto work = [](runtime::real* owner, simcaller::options choice, int* result) -> runtime::task<> {
-    simcaller::watcher eyes;
-    auto report = co_await simcaller::run(owner->runtime(), choice, eyes);
+    simcaller::watcher observer;
+    auto report = co_await simcaller::run(owner->runtime(), choice, observer);
     printf("%s\n", report.dump(2).c_str());
     bool well = report["oddities"].empty() && report["turns_complete"].get<std::int64_t>() > 0;
     *result = well ? 0 : 1;
--- a/src/simengine/model.cc
+++ b/src/simengine/model.cc
@@ -30,10 +30,10 @@
   bool lacking = self->leading(turn.hashes) < turn.hashes.size();
   if (!turn.transfer.contains("remote_host") || !lacking || !in_time || turn.out->closed())
     co_return pulled{};
-  auto flown = self->take_off("borrow", turn.request, turn.out);
+  auto tracked = self->track_request("borrow", turn.request, turn.out);
   auto seen = turn.seen;
   seen.what = "borrow";
-  seen.flights = self->flights("borrow");
+  seen.active = self->active_requests("borrow");
   if (self->watcher) self->watcher(seen);
   auto moved = co_await self->pull(turn.transfer, turn.hashes, turn.arrived);
   co_return moved;
--- a/src/simengine/node.cc
+++ b/src/simengine/node.cc
@@ -88,9 +88,10 @@
   return found == incoming.headers.end() ? 0 : atoll(found->second.c_str());
 }
 
-std::shared_ptr<void> node::state::take_off(const std::string& kind, const runtime::inbound_request& incoming,
-                                            const gateway::writer& out) {
-  auto number = next_flight++;
+std::shared_ptr<void> node::state::track_request(const std::string& kind,
+                                                 const runtime::inbound_request& incoming,
+                                                 const gateway::writer& out) {
+  auto number = next_active++;
   under_way[kind][number] = {{incoming.peer, sent_of(incoming)}, out};
   return {nullptr, [weak = weak_from_this(), kind, number](void*) {
             if (auto here = weak.lock()) here->under_way[kind].erase(number);
@@ -98,8 +99,8 @@
 }
 
 // What its sender has given up and said so is not under way any more.
-std::vector<flight> node::state::flights(const std::string& kind) const {
-  std::vector<flight> list;
+std::vector<active_request> node::state::active_requests(const std::string& kind) const {
+  std::vector<active_request> list;
   auto found = under_way.find(kind);
   if (found == under_way.end()) return list;
   for (auto& [number, each] : found->second)
@@ -110,7 +111,7 @@
 void node::state::tell(const std::string& what, const runtime::inbound_request& incoming,
                        const std::string& key, const std::string& kind) {
   if (!watcher) return;
-  run seen{what, key, "", incoming.path, {}, {}, {}, flights(kind), sent_of(incoming)};
+  run seen{what, key, "", incoming.path, {}, {}, {}, active_requests(kind), sent_of(incoming)};
   auto id = incoming.headers.find("x-request-id");
   if (id != incoming.headers.end()) seen.request_id = id->second;
   watcher(seen);
@@ -152,7 +153,7 @@
 task<> node::state::call(runtime::inbound_request incoming, gateway::writer out) {
   auto self = shared_from_this();
   std::string key = incoming.headers.contains("idempotency-key") ? incoming.headers["idempotency-key"] : "";
-  auto flown = self->take_off("call", incoming, out);
+  auto tracked = self->track_request("call", incoming, out);
   self->tell(incoming.method == "GET" ? "arrive-ask" : "arrive-call", incoming, key, "call");
   if (incoming.method == "GET") {
     auto found = self->calls.find(key);
@@ -210,11 +211,11 @@
   auto body = json::parse(incoming.body, nullptr, false);
   bool post = incoming.method == "POST" && body.is_object();
   if (post && incoming.path == "/v1/completions") {
-    auto flown = self->take_off("turn", incoming, out);
+    auto tracked = self->track_request("turn", incoming, out);
     self->tell("arrive-turn", incoming, "", "turn");
     co_await self->complete(std::move(incoming), std::move(body), std::move(out));
   } else if (post && incoming.path == "/v1/kv/blocks") {
-    auto flown = self->take_off("lend", incoming, out);
+    auto tracked = self->track_request("lend", incoming, out);
     self->tell("arrive-pull", incoming, "", "lend");
     co_await self->lend(std::move(body), std::move(out));
   } else
--- a/src/simengine/node.h
+++ b/src/simengine/node.h
@@ -15,7 +15,7 @@
 };
 
 // Somebody's work that is under way.
-struct flight {
+struct active_request {
   std::string peer;
   runtime::microseconds sent = 0;
 };
@@ -25,10 +25,10 @@
 struct run {
   std::string what, key, request_id, path;
   std::vector<std::int64_t> prompt;
-  std::vector<std::string> hashes;    // of a hit: the leading blocks that were not computed
-  std::vector<std::string> computed;  // and those that were
-  std::vector<flight> flights;        // of the same kind at this engine, this one included
-  runtime::microseconds sent = 0;     // when it left its sender; known to simulated engines only
+  std::vector<std::string> hashes;     // of a hit: the leading blocks that were not computed
+  std::vector<std::string> computed;   // and those that were
+  std::vector<active_request> active;  // of the same kind at this engine, this one included
+  runtime::microseconds sent = 0;      // when it left its sender; known to simulated engines only
 };
 
 // The text that a model gives: a function of the tokens before it alone, so that anybody can check it.
--- a/src/simengine/node_state.h
+++ b/src/simengine/node_state.h
@@ -48,8 +48,9 @@
   std::string lender = "well";
   std::int64_t running = 0, waiting = 0;
   std::int64_t lending = 0;
-  std::map<std::string, std::map<std::uint64_t, std::pair<flight, gateway::writer>>> under_way;  // by kind
-  std::uint64_t next_flight = 1;
+  std::map<std::string, std::map<std::uint64_t, std::pair<active_request, gateway::writer>>>
+      under_way;  // by kind
+  std::uint64_t next_active = 1;
   microseconds busy_until = 0;
   std::vector<runtime::slot<bool>> line;
   std::list<std::string> order;  // the block cache, least lately used first
@@ -83,9 +84,9 @@
   task<> complete(runtime::inbound_request request, json body, gateway::writer out);
   task<> lend(json body, gateway::writer out);
   // Counts this piece of work in until the result is let go.
-  std::shared_ptr<void> take_off(const std::string& kind, const runtime::inbound_request& incoming,
-                                 const gateway::writer& out);
-  std::vector<flight> flights(const std::string& kind) const;
+  std::shared_ptr<void> track_request(const std::string& kind, const runtime::inbound_request& incoming,
+                                      const gateway::writer& out);
+  std::vector<active_request> active_requests(const std::string& kind) const;
   void tell(const std::string& what, const runtime::inbound_request& incoming, const std::string& key,
             const std::string& kind);
   task<> call(runtime::inbound_request incoming, gateway::writer out);
