--- a/src/hsim/world_disk.cc
+++ b/src/hsim/world_disk.cc
@@ -10,19 +10,16 @@
   return false;
 }
 
-void world::state::bind_disk(struct machine* self, rt::backend& table) {
-  std::weak_ptr<state> weak = shared_from_this();
-  std::string name = self->name;
-  std::uint64_t life = self->life;
-  auto disk_of = [weak, name]() -> sim_disk* {
-    auto here = weak.lock();
-    return here ? &here->machines.at(name)->disk : nullptr;
-  };
-  auto fault = [](const sim_disk& disk) -> std::optional<rt::disk_error> {
-    if (disk.failing) return rt::disk_error::failed;
-    if (disk.full) return rt::disk_error::full;
-    return std::nullopt;
-  };
+// Finds one machine's disk; nothing once the world is gone.
+using disk_finder = std::function<sim_disk*()>;
+
+static std::optional<rt::disk_error> write_error_of(const sim_disk& disk) {
+  if (disk.failing) return rt::disk_error::failed;
+  if (disk.full) return rt::disk_error::full;
+  return std::nullopt;
+}
+
+static void bind_disk_reads(const disk_finder& disk_of, rt::backend& table) {
   table.disk.read_at = [disk_of](const std::string& file, std::uint64_t offset,
                                  std::size_t length) -> std::variant<std::string, rt::disk_error> {
     auto* disk = disk_of();
@@ -39,24 +36,39 @@
     if (found == disk->files.end()) return rt::disk_error::missing;
     return static_cast<std::uint64_t>(found->second.current.size());
   };
-  table.disk.append = [disk_of, fault](const std::string& file,
-                                       const std::string& bytes) -> std::optional<rt::disk_error> {
+}
+
+static void bind_disk_writes(const disk_finder& disk_of, rt::backend& table) {
+  table.disk.append = [disk_of](const std::string& file,
+                                const std::string& bytes) -> std::optional<rt::disk_error> {
     auto* disk = disk_of();
     if (!disk || power_gone(*disk)) return std::nullopt;
-    if (auto error = fault(*disk)) return error;
+    if (auto error = write_error_of(*disk)) return error;
     disk->files[file].current += bytes;
     return std::nullopt;
   };
-  table.disk.replace = [disk_of, fault](const std::string& file,
-                                        const std::string& bytes) -> std::optional<rt::disk_error> {
+  table.disk.replace = [disk_of](const std::string& file,
+                                 const std::string& bytes) -> std::optional<rt::disk_error> {
     auto* disk = disk_of();
     if (!disk || power_gone(*disk)) return std::nullopt;
-    if (auto error = fault(*disk)) return error;
+    if (auto error = write_error_of(*disk)) return error;
     disk->files[file].current = bytes;
     return std::nullopt;
   };
-  table.disk.sync = [weak, disk_of, fault, name, life](
-                        const std::string& file, std::function<void(std::optional<rt::disk_error>)> done) {
+}
+
+void world::state::bind_disk(struct machine* self, rt::backend& table) {
+  std::weak_ptr<state> weak = shared_from_this();
+  std::string name = self->name;
+  std::uint64_t life = self->life;
+  disk_finder disk_of = [weak, name]() -> sim_disk* {
+    auto here = weak.lock();
+    return here ? &here->machines.at(name)->disk : nullptr;
+  };
+  bind_disk_reads(disk_of, table);
+  bind_disk_writes(disk_of, table);
+  table.disk.sync = [weak, disk_of, name, life](const std::string& file,
+                                                std::function<void(std::optional<rt::disk_error>)> done) {
     auto here = weak.lock();
     auto* disk = disk_of();
     if (!here || !disk || power_gone(*disk)) return;
@@ -64,10 +76,10 @@
     auto time = disk->sync_time +
                 static_cast<microseconds>(here->random() % static_cast<std::uint64_t>(disk->sync_time + 1));
     std::string content = disk->files[file].current;
-    here->schedule(time, name, life, [disk_of, fault, file, content, done] {
+    here->schedule(time, name, life, [disk_of, file, content, done] {
       auto* disk = disk_of();
       if (!disk || disk->crashed) return;
-      if (auto error = fault(*disk)) return done(error);
+      if (auto error = write_error_of(*disk)) return done(error);
       disk->files[file].synced = content;
       disk->files[file].lasting = true;
       done(std::nullopt);
