--- a/src/hstore/expiry.cc
+++ b/src/hstore/expiry.cc
@@ -77,13 +77,27 @@
   }
 }
 
+// The contents of conversations; kept turns have times of their own.
+static std::vector<std::string> conversation_contents(const reg::voter& voter) {
+  constexpr int one_step = 1000;
+  const std::string turns = std::string("c/") + ledger::turn_prefix;
+  std::vector<std::string> found;
+  auto take = [&found, &turns](const std::string& record, std::int64_t) {
+    if (record.rfind(turns, 0) != 0) found.push_back(record);
+  };
+  for (int bucket = 0; bucket < voter.bucket_count(); ++bucket) {
+    std::string after;
+    do after = voter.for_each_attribute(bucket, "c/", after, one_step, take);
+    while (!after.empty());
+  }
+  return found;
+}
+
 // Every node clears its own disk: a content goes only if the agreed head is of a later generation.
 static task<> clear_contents(reg::voter voter, reg::proposer group, runtime::handle runtime) {
   std::map<std::string, std::int64_t> generations;
   std::vector<std::string> removable;
-  for (auto& record : voter.keys_with_prefix("c/")) {
-    // These have times of their own.
-    if (record.compare(2, std::string(ledger::turn_prefix).size(), ledger::turn_prefix) == 0) continue;
+  for (auto& record : conversation_contents(voter)) {
     auto body = voter.content(record.substr(2));
     auto content = body ? ledger::content_from(*body) : std::nullopt;
     if (!content) continue;
