Wait for the ledger no longer than two fifths of a client's time

Change: the wait ends after 1.2 s or two fifths of the time that the client has, whichever is sooner, with a 503 and when to come back. Test: with 800 ms left and the stores frozen the answer came after 800 ms, now within 400.

Ruled out: waiting less once the ledger was found out of reach, which would keep turns out while stores are only slow.

--- a/src/forward/request.cc
+++ b/src/forward/request.cc
@@ -4,7 +4,13 @@
 namespace herontally::forward {
 
 // A majority answers within milliseconds; beyond this a client is better served by trying elsewhere.
-constexpr microseconds ledger_patience = 1200 * millisecond;
+constexpr microseconds longest_ledger_wait = 1200 * millisecond;
+
+// Never for half of the time that the client has: the rest is for its next try.
+static microseconds ledger_deadline(const exchange& one) {
+  auto most = (one.deadline - one.arrived) * 2 / 5;
+  return one.arrived + std::min(longest_ledger_wait, most);
+}
 
 static task<> reserve_into(ledger::programs programs, exchange_pointer one, microseconds until,
                            runtime::slot<ledger::reserve_end> done) {
@@ -15,7 +21,7 @@
 
 task<bool> door::state::prepare(exchange_pointer one) {
   auto self = shared_from_this();
-  auto until = std::min(one->deadline, one->arrived + ledger_patience);
+  auto until = ledger_deadline(*one);
   bool budgeted = !one->terms.program.empty() && one->terms.budget >= 0 &&
                   one->route.kind == routing::category::streaming;
   runtime::slot<ledger::reserve_end> reserved(self->runtime);
--- a/tests/door_time_test.cc
+++ b/tests/door_time_test.cc
@@ -118,3 +118,23 @@
   CHECK(told <= 4000);
   CHECK(told > 3900);
 }
+
+TEST_CASE("a turn whose ledger is out of reach is refused before half of its client's time is over") {
+  door_setting here(37);
+  here.engine("one", "models");
+  here.begin();
+  auto& world = here.stores.world;
+  for (auto* store : {"s1", "s2", "s3"}) world.find(store).frozen = true;
+  auto request = request_for("POST", "/turn/1");
+  request.body = "x";
+  request.headers["X-Time-Left-Ms"] = "800";
+  request.headers["X-Program"] = "p";
+  request.headers["X-Token-Budget"] = "1000";
+  request.headers["X-Token-Count"] = "10,100";
+  auto begun = world.now();
+  auto got = here.stores.run("client", here.ask(world.runtime_of("client"), request));
+  CHECK(got.status == 503);
+  CHECK_FALSE(got.headers["retry-after"].empty());
+  CHECK(world.now() - begun <= 400 * millisecond);
+  CHECK(here.seen.empty());
+}
