--- a/src/hsim/scenario.cc
+++ b/src/hsim/scenario.cc
@@ -14,11 +14,11 @@
   eyes.begin = [&judge](const seen_turn& asked) { judge.turn_begins(asked); };
   eyes.turn = [&judge, trouble](const seen_turn& seen) {
     judge.turn_seen(seen);
-    if (trouble && (seen.end == "complete" || seen.status == 402)) trouble->word_given();
+    if (trouble && (seen.end == "complete" || seen.status == 402)) trouble->reply_received();
   };
   eyes.call = [&judge, trouble](const seen_call& seen) {
     judge.call_seen(seen);
-    if (trouble && (seen.status == 200 || seen.ran == "no")) trouble->word_given();
+    if (trouble && (seen.status == 200 || seen.ran == "no")) trouble->reply_received();
   };
   return eyes;
 }
@@ -49,8 +49,8 @@
 static void begin_load(site& place, const run_options& choice, oracle& judge, faults& trouble,
                        load_run& load) {
   auto& where = place.where();
-  const double patiences[] = {40, 3, 1};
-  double patience = patiences[where.draw(3)];
+  const double timeouts[] = {40, 3, 1};
+  double timeout = timeouts[where.draw(3)];
   for (auto& partner : place.options().partners) {
     if (partner.models == 0) continue;
     ++load.wanted;
@@ -60,7 +60,7 @@
     traffic.requests_per_second = choice.requests_per_second;
     traffic.seconds = choice.storm_seconds;
     // Some clients turn to another door while the first may still be at work.
-    traffic.patience_seconds = patience;
+    traffic.timeout_seconds = timeout;
     traffic.crowd_at_second = static_cast<double>(5 + where.draw(20));
     traffic.crowd = static_cast<std::int64_t>(where.draw(4) ? where.draw(60) : 200 + where.draw(300));
     place.callers().spawn(offer_load(place.callers(), traffic, eyes_of(judge, &trouble), &load));
@@ -77,12 +77,8 @@
   }
 }
 
-run_report run_scenario(const run_options& choice) {
-  run_report report;
-  report.seed = choice.seed;
-  world where(choice.seed);
-  oracle judge(where);
-  site_options shape = choice.site;
+// The site of a run, varied by its seed.
+static site_options draw_site(world& where, site_options shape) {
   // Long streams, so that faults meet them; budgets that are spent and raised; or neither.
   if (where.draw(2)) shape.token_milliseconds = 20;
   if (where.draw(3) == 0) {
@@ -98,7 +94,24 @@
     shape.keep_seconds = 4;
     shape.keep_growth = 5;
   }
-  site place(where, judge, shape);
+  return shape;
+}
+
+static void add_site_counts(site& place, run_report& report) {
+  double moved = 0;
+  for (auto& name : place.of_role("engine"))
+    moved += place.metric(name, "herontally_engine_kv_bytes_in_total");
+  report.counts["bytes_moved"] = moved;
+  for (auto& name : place.of_role("hstore"))
+    report.counts["views"][name] = place.metric(name, "herontally_view");
+}
+
+run_report run_scenario(const run_options& choice) {
+  run_report report;
+  report.seed = choice.seed;
+  world where(choice.seed);
+  oracle judge(where);
+  site place(where, judge, draw_site(where, choice.site));
   where.net().slow = static_cast<double>(where.draw(3)) * 0.01;
   if (!place.begin()) {
     judge.fail("start", "the site did not come up");
@@ -130,12 +143,7 @@
   report.counts.update(judge.counts());
   report.counts["load"] = load.report;
   report.counts["messages"] = where.net().messages;
-  double moved = 0;
-  for (auto& name : place.of_role("engine"))
-    moved += place.metric(name, "herontally_engine_kv_bytes_in_total");
-  report.counts["bytes_moved"] = moved;
-  for (auto& name : place.of_role("hstore"))
-    report.counts["views"][name] = place.metric(name, "herontally_view");
+  add_site_counts(place, report);
   return report;
 }
 
