--- a/tests/model/injector.cc
+++ b/tests/model/injector.cc
@@ -11,7 +11,8 @@
 constexpr std::uint64_t messages_until_freeze = 12, writes_until_power_loss = 6;
 constexpr std::int64_t most_clock_step = 6000 * millisecond;
 constexpr double slow_share = 0.3, duplicate_share = 0.15, lost_share = 0.15;
-constexpr std::int64_t most_link_delay = 500 * millisecond, slow_link_time = 3000 * millisecond;
+constexpr std::uint64_t most_link_delay = 400 * millisecond;
+constexpr std::int64_t slow_links_time = 2500 * millisecond;
 constexpr std::int64_t most_extra_delay = 550 * millisecond;
 
 }  // namespace
@@ -107,9 +108,10 @@
     case fault_kind::freeze_sender:
     case fault_kind::crash_client:
       return inject_into_client(each, client);
+    case fault_kind::slow_links:
+      return slow_links(each, client);
     case fault_kind::cut_link:
-    case fault_kind::slow_link:
-      return trouble_link(each);
+      return cut_link(each);
     case fault_kind::clock_step:
       return step_clock(each);
     case fault_kind::slow_network:
@@ -166,24 +168,31 @@
   });
 }
 
-void injector::trouble_link(const fault& each) {
+void injector::cut_link(const fault& each) {
   auto voters = group_.storage_names();
   auto voter = voters[each.pick % voters.size()];
   auto client = clients_[each.pick / 64 % clients_.size()];
   bool outward = each.pick / 4096 % 2 == 0;
   auto from = outward ? client : voter, to = outward ? voter : client;
-  if (each.kind == fault_kind::slow_link) return slow_link(each, from, to);
   note(each, from + " to " + to);
   world_.cut(from, to);
   after(each, each.length, [this, from, to] { world_.heal(from, to); });
 }
 
-// Lasts much longer than its delay, so that whole moves fall into it.
-void injector::slow_link(const fault& each, const std::string& from, const std::string& to) {
-  auto delay = std::min(each.length, most_link_delay);
-  note(each, from + " to " + to + " by " + std::to_string(delay) + " us");
-  world_.net().link_delays[{from, to}] = delay;
-  after(each, slow_link_time, [this, from, to] { world_.net().link_delays.erase({from, to}); });
+// Lasts long enough for whole moves to fall between a request and its answer.
+void injector::slow_links(const fault& each, const std::string& client) {
+  auto& delays = world_.net().link_delays;
+  std::mt19937_64 random(each.pick);
+  std::vector<std::pair<std::string, std::string>> links;
+  for (auto& voter : group_.storage_names()) {
+    if (random() % 2 == 0) links.push_back({client, voter});
+    if (random() % 2 == 0) links.push_back({voter, client});
+  }
+  note(each, client);
+  for (auto& link : links) delays[link] = static_cast<std::int64_t>(random() % most_link_delay);
+  after(each, slow_links_time, [&delays, links] {
+    for (auto& link : links) delays.erase(link);
+  });
 }
 
 void injector::inject_into_client(const fault& each, const std::string& name) {
--- a/tests/model/injector.h
+++ b/tests/model/injector.h
@@ -24,8 +24,8 @@
   void inject_into_voter(const fault& each, const std::string& name);
   void inject_into_client(const fault& each, const std::string& name);
   void inject_into_network(const fault& each);
-  void trouble_link(const fault& each);
-  void slow_link(const fault& each, const std::string& from, const std::string& to);
+  void cut_link(const fault& each);
+  void slow_links(const fault& each, const std::string& client);
   void isolate(const fault& each, const std::string& name);
   void step_clock(const fault& each);
   // Calls `end` once, when the fault is over.
--- a/tests/model/main.cc
+++ b/tests/model/main.cc
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include <chrono>
+#include <set>
 #include <sstream>
 
 #include "logging/logging.h"
@@ -20,7 +21,8 @@
 ABSL_FLAG(bool, story, false, "print each run's faults");
 ABSL_FLAG(bool, shrink, true, "look for a shorter run that fails in the same way");
 ABSL_FLAG(int, failures, 3, "failing seeds after which the rest is not run");
-ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
+ABSL_FLAG(std::string, broken, "",
+          "protecting mechanisms to break, with commas between (only in the build made for it)");
 ABSL_FLAG(std::string, expect, "", "with --broken: the violation that must be noticed; empty: any");
 
 using namespace herontally;
@@ -126,31 +128,38 @@
   return sum.failures > 0 ? exit_violated : exit_well;
 }
 
-// With the mechanism whole no seed may fail; with it broken, one of them must.
+#ifdef HERONTALLY_BREAKS
+// Several mechanisms may protect one property; they are broken together.
+std::set<std::string> parse_names(const std::string& text) {
+  std::set<std::string> names;
+  std::stringstream parts(text);
+  for (std::string part; std::getline(parts, part, ',');) names.insert(part);
+  return names;
+}
+#endif
+
+// With the mechanisms broken some seed must fail, which doesn't with the mechanisms whole.
 int show_break([[maybe_unused]] model::run_options options, [[maybe_unused]] seed_range range,
-               [[maybe_unused]] const std::string& mechanism) {
+               [[maybe_unused]] const std::string& mechanisms) {
 #ifdef HERONTALLY_BREAKS
   std::string expected = absl::GetFlag(FLAGS_expect);
   for (auto seed = range.first; seed <= range.last; ++seed) {
     options.seed = seed;
-    breaks().clear();
-    auto whole = model::run_once(options);
-    if (whole.failure) {
-      print_failure(options, whole);
-      printf("this seed fails without any break\n");
-      return exit_violated;
-    }
-    breaks().insert(mechanism);
+    breaks() = parse_names(mechanisms);
     auto result = model::run_once(options);
-    if (!result.failure) continue;
-    bool noticed = expected.empty() || model::name_of(result.failure->kind) == expected;
+    bool noticed = result.failure && (expected.empty() || model::name_of(result.failure->kind) == expected);
     if (!noticed) continue;
-    printf("with \"%s\" broken:\n", mechanism.c_str());
+    printf("with \"%s\" broken:\n", mechanisms.c_str());
     print_failure(options, result);
     if (absl::GetFlag(FLAGS_shrink)) print_shrunk(options, result);
-    return exit_well;
+    breaks().clear();
+    auto whole = model::run_once(options);
+    if (!whole.failure) return exit_well;
+    print_failure(options, whole);
+    printf("this seed fails without any break\n");
+    return exit_violated;
   }
-  printf("nothing was noticed with \"%s\" broken\n", mechanism.c_str());
+  printf("nothing was noticed with \"%s\" broken\n", mechanisms.c_str());
   return exit_violated;
 #else
   printf("this build has no breaks; use register_model_breaks\n");
@@ -170,6 +179,6 @@
     fputs(usage_text, stderr);
     return exit_usage;
   }
-  auto mechanism = absl::GetFlag(FLAGS_broken);
-  return mechanism.empty() ? run_seeds(options, *range) : show_break(options, *range, mechanism);
+  auto mechanisms = absl::GetFlag(FLAGS_broken);
+  return mechanisms.empty() ? run_seeds(options, *range) : show_break(options, *range, mechanisms);
 }
--- a/tests/model/plan.cc
+++ b/tests/model/plan.cc
@@ -12,7 +12,7 @@
 constexpr std::int64_t shortest_span = 2000 * millisecond, longest_span = 5000 * millisecond;
 constexpr std::int64_t shortest_fault = 20 * millisecond;
 constexpr std::int64_t doublings = 6;  // the longest fault is so many times twice the shortest
-constexpr std::int64_t shortest_pause = 30 * millisecond, pause_doublings = 5;
+constexpr std::int64_t shortest_pause = 30 * millisecond, pause_doublings = 7;
 constexpr int most_keys = 3;
 constexpr int fewest_faults = 4, most_faults = 20;
 
@@ -29,9 +29,9 @@
     fault_kind::cut_link,      fault_kind::clock_step,
     fault_kind::clock_step,    fault_kind::slow_network,
     fault_kind::slow_network,  fault_kind::duplicate_messages,
-    fault_kind::lose_messages, fault_kind::slow_link,
-    fault_kind::slow_link,     fault_kind::slow_link,
-    fault_kind::slow_link,
+    fault_kind::lose_messages, fault_kind::slow_links,
+    fault_kind::slow_links,    fault_kind::slow_links,
+    fault_kind::slow_links,
 };
 
 // Each run has about half of the kinds: what one kind always prevents is then seen by other runs.
@@ -106,8 +106,8 @@
       return "isolation";
     case fault_kind::cut_link:
       return "link cut";
-    case fault_kind::slow_link:
-      return "slow link";
+    case fault_kind::slow_links:
+      return "slow links";
     case fault_kind::clock_step:
       return "clock step";
     case fault_kind::slow_network:
--- a/tests/model/plan.h
+++ b/tests/model/plan.h
@@ -17,8 +17,8 @@
   freeze_sender,  // a client freezes after one of its next messages
   crash_client,
   isolate_voter,
-  cut_link,   // between one client and one voter, one way
-  slow_link,  // the same, but each message only takes longer
+  cut_link,    // between one client and one voter, one way
+  slow_links,  // messages of one client and some of the voters take longer, each way by its own time
   clock_step,
   slow_network,
   duplicate_messages,
