--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -44,14 +44,25 @@
                           one.route.urgency);
   request.pooled = true;
   request.most_connections = made.connections;
-  // What may run only once isn't risked on a connection that the engine may be about to close.
-  bool once = one.route.kind != routing::category::idempotent;
-  request.longest_idle = once ? 2 * second : 4 * second;
+  bool repeatable = one.route.kind == routing::category::idempotent;
+  request.longest_idle = idle.longest(one.service.name, repeatable, runtime.now());
   request.echo_name = speech->echo_header;
   request.echo_value = one.terms.attempt;
   return request;
 }
 
+void door::state::note_failure(const exchange& one, names::index engine,
+                               const runtime::http_failure& failure) {
+  engines.failed(engine, !failure.sent, runtime.now());
+  bool on_idle_connection = failure.sent && !failure.garbled && failure.idle_before >= 0;
+  if (!on_idle_connection) return;
+  // The engine may have forgotten the connection; what was sent may have run all the same.
+  idle.lost(one.service.name, failure.idle_before, runtime.now());
+  journal.count("herontally_idle_connections_lost_total");
+  journal.info("request lost on an idle connection",
+               {{"service", one.service.name}, {"idle_milliseconds", failure.idle_before / millisecond}});
+}
+
 task<attempt_end> door::state::attempt(exchange_pointer one, plan made) {
   auto self = shared_from_this();
   auto number = made.engine;
@@ -108,7 +119,7 @@
       bool sent = !failure || failure->sent;
       one->offered = one->offered || sent;
       end = sent ? attempt_end::unknown : attempt_end::not_sent;
-      self->engines.failed(number, !sent, self->runtime.now());
+      self->note_failure(*one, number, failure ? *failure : runtime::http_failure{});
     }
   }
   if (one->gone) end = attempt_end::gone;
@@ -156,6 +167,9 @@
   co_return attempt_end::done;
 }
 
+// How far past its deadline a whole answer may be held until it is lasting; the client is owed its end soon.
+constexpr microseconds keeping_grace = 200 * millisecond;
+
 task<attempt_end> door::state::pass_stream(exchange_pointer one, std::shared_ptr<runtime::http_stream> stream,
                                            headers answer) {
   auto self = shared_from_this();
@@ -187,7 +201,7 @@
     record.input = one->request.body;
     record.output = scanner.data();
     record.kept_until = self->runtime.wall() + one->route.keep * millisecond + 10 * second;
-    auto until = std::max(one->deadline, self->runtime.now() + second);
+    auto until = one->deadline + keeping_grace;
     // The answer is whole only once what was said is lasting: from its end on the turn may be gone on from.
     bool lasting = co_await self->programs.keep(std::move(record), until);
     if (!lasting) {
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -16,7 +16,7 @@
 constexpr microseconds second = 1000 * millisecond;
 // A request whose channel isn't made within this time is given up: it must not reach a back end long after it
 // was decided on.
-constexpr microseconds connect_patience = second;
+constexpr microseconds default_connect_timeout = second;
 
 enum class channel_error { unreachable, timed_out, closed, oversized };
 enum class disk_error { failed, full, missing };
@@ -64,6 +64,8 @@
 struct http_failure {
   bool sent = true;
   bool garbled = false;  // bytes came that are no answer in the protocol
+  // How long the connection had been idle before this request was written to it; negative: it was a new one.
+  microseconds idle_before = -1;
 };
 using http_event = std::variant<http_head, http_piece, http_end, http_failure>;
 
@@ -78,11 +80,16 @@
   // The header that the answer must carry with this value; a whole answer without it belongs to another
   // request, is read to its end and passed over. Empty: any answer is taken.
   std::string echo_name, echo_value;
-  microseconds patience = second;  // to come up; later it would reach a back end long after it was decided on
+  // For the connection to come up; later the request would reach a back end long after it was decided on.
+  microseconds connect_timeout = default_connect_timeout;
 };
 
 struct disk_table {
-  std::function<std::variant<std::string, disk_error>(const std::string&)> read;
+  // Up to `length` bytes from `offset` on; fewer only where the file ends.
+  std::function<std::variant<std::string, disk_error>(const std::string&, std::uint64_t offset,
+                                                      std::size_t length)>
+      read_at;
+  std::function<std::variant<std::uint64_t, disk_error>(const std::string&)> size;
   std::function<std::optional<disk_error>(const std::string&, const std::string&)> append;
   std::function<std::optional<disk_error>(const std::string&, const std::string&)> replace;
   std::function<void(const std::string&, std::function<void(std::optional<disk_error>)>)> sync;
--- a/src/runtime/real_answer.cc
+++ b/src/runtime/real_answer.cc
@@ -46,7 +46,7 @@
   return 0;
 }
 
-// The most that an idle connection may be kept by the other side's own word.
+// The most that an idle connection may be kept as the other side itself says.
 microseconds idle_limit_of(const http_head& head) {
   auto found = head.headers.find("keep-alive");
   if (found == head.headers.end()) return -1;
@@ -62,7 +62,7 @@
   answer.closing = (parser->flags & F_CONNECTION_CLOSE) != 0;
   answer.head.status = static_cast<int>(parser->status_code);
   answer.delimited =
-      answer.head.headers.count("content-length") || answer.head.headers.count("transfer-encoding");
+      answer.head.headers.contains("content-length") || answer.head.headers.contains("transfer-encoding");
   connection->idle_limit = idle_limit_of(answer.head);
   auto found = connection->part->requests.find(connection->running);
   if (found == connection->part->requests.end()) return -1;
@@ -120,7 +120,7 @@
                       [](unsigned char letter) { return letter == '\r' || letter == '\n' || letter == 0; });
 }
 
-bool one_word(const std::string& text) {
+bool is_one_token(const std::string& text) {
   return !text.empty() && std::none_of(text.begin(), text.end(),
                                        [](unsigned char letter) { return letter <= ' ' || letter == 127; });
 }
@@ -158,12 +158,12 @@
 
 std::string request_bytes(const std::string& address, const http_request& request) {
   std::string path = request.path.empty() ? "/" : request.path;
-  if (!one_word(request.method) || !one_word(path)) return "";
+  if (!is_one_token(request.method) || !is_one_token(path)) return "";
   std::string bytes, host = address;
   bytes.reserve(512 + path.size() + request.body.size());
   bytes += request.method + " " + path + " HTTP/1.1\r\n";
   for (auto& [name, value] : request.headers) {
-    if (!one_word(name) || name.find(':') != std::string::npos || !one_line(value)) return "";
+    if (!is_one_token(name) || name.find(':') != std::string::npos || !one_line(value)) return "";
     std::string lower = name;
     std::transform(lower.begin(), lower.end(), lower.begin(),
                    [](unsigned char letter) { return std::tolower(letter); });
@@ -172,7 +172,7 @@
     if (lower == "host")
       host = value;
     else
-      bytes += name + ": " + value + "\r\n";
+      bytes.append(name).append(": ").append(value).append("\r\n");
   }
   bytes += "Host: " + host + "\r\n";
   if (!request.pooled) bytes += "Connection: close\r\n";
--- a/src/runtime/real_pool.h
+++ b/src/runtime/real_pool.h
@@ -18,6 +18,7 @@
   std::string bytes;         // the request as it goes out, until it does
   std::size_t buffered = 0;  // of it, what the kernel didn't take at once
   bool sent = false;
+  microseconds idle_before = -1;  // of its connection; negative: a new one
 };
 
 // The answer that is being read.
@@ -35,7 +36,7 @@
 
 struct client_connection {
   http_client_part* part = nullptr;
-  std::uint64_t number = 0, running = 0, patience_timer = 0;
+  std::uint64_t number = 0, running = 0, connect_timer = 0;
   std::string address;
   bufferevent* stream = nullptr;
   bool pooled = false, connected = false, reusable = true;
