--- a/tests/model/main.cc
+++ b/tests/model/main.cc
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::uint64_t, variation, 0, "another order of messages under the same faults");
 ABSL_FLAG(std::int64_t, span_ms, 0, "virtual time until the writers stop; 0: as the seed says");
 ABSL_FLAG(std::string, faults, "", "only these faults of the plan, as 0,3,7; none: no faults; empty: all");
+ABSL_FLAG(std::string, only, "", "kinds of faults by their names in a story, with commas between");
 ABSL_FLAG(bool, story, false, "print each run's faults");
 ABSL_FLAG(bool, shrink, true, "look for a shorter run that fails in the same way");
 ABSL_FLAG(int, failures, 3, "failing seeds after which the rest is not run");
@@ -61,6 +62,24 @@
   return positions;
 }
 
+std::set<std::string> parse_names(const std::string& text) {
+  std::set<std::string> names;
+  std::stringstream parts(text);
+  for (std::string part; std::getline(parts, part, ',');) names.insert(part);
+  return names;
+}
+
+// Nothing: a name that no kind has.
+std::optional<std::vector<model::fault_kind>> parse_kinds(const std::string& text) {
+  std::vector<model::fault_kind> kinds;
+  for (auto& name : parse_names(text)) {
+    auto named = model::kinds_named(name);
+    if (named.empty()) return std::nullopt;
+    kinds.insert(kinds.end(), named.begin(), named.end());
+  }
+  return kinds;
+}
+
 model::run_options options_from_flags() {
   model::run_options options;
   options.voters = absl::GetFlag(FLAGS_voters);
@@ -128,16 +147,6 @@
   return sum.failures > 0 ? exit_violated : exit_well;
 }
 
-#ifdef HERONTALLY_BREAKS
-// Several mechanisms may protect one property; they are broken together.
-std::set<std::string> parse_names(const std::string& text) {
-  std::set<std::string> names;
-  std::stringstream parts(text);
-  for (std::string part; std::getline(parts, part, ',');) names.insert(part);
-  return names;
-}
-#endif
-
 // With the mechanisms broken some seed must fail, which doesn't with the mechanisms whole.
 int show_break([[maybe_unused]] model::run_options options, [[maybe_unused]] seed_range range,
                [[maybe_unused]] const std::string& mechanisms) {
@@ -145,6 +154,7 @@
   std::string expected = absl::GetFlag(FLAGS_expect);
   for (auto seed = range.first; seed <= range.last; ++seed) {
     options.seed = seed;
+    // Several mechanisms may protect one property; they are broken together.
     breaks() = parse_names(mechanisms);
     auto result = model::run_once(options);
     bool noticed = result.failure && (expected.empty() || model::name_of(result.failure->kind) == expected);
@@ -174,7 +184,9 @@
   logging::start("register_model", "OFF");
   auto range = parse_seeds(absl::GetFlag(FLAGS_seeds));
   auto options = options_from_flags();
-  bool usable = range && options.voters >= 1 && options.spares >= 0;
+  auto kinds = parse_kinds(absl::GetFlag(FLAGS_only));
+  if (kinds) options.kinds = *kinds;
+  bool usable = range && kinds && options.voters >= 1 && options.spares >= 0;
   if (!usable) {
     fputs(usage_text, stderr);
     return exit_usage;
--- a/tests/model/plan.cc
+++ b/tests/model/plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 namespace herontally::model {
 
@@ -60,6 +61,7 @@
   plan.longest_pause = shortest_pause << draw(0, pause_doublings);
   std::int64_t span = draw(shortest_span, longest_span);
   auto kinds = draw_kinds(random);
+  if (!options.kinds.empty()) kinds = options.kinds;
   auto count = draw(fewest_faults, most_faults);
   for (std::int64_t number = 0; number < count; ++number) {
     fault each;
@@ -85,6 +87,13 @@
   return plan;
 }
 
+std::vector<fault_kind> kinds_named(const std::string& name) {
+  std::set<fault_kind> found;
+  for (auto kind : choices)
+    if (name_of(kind) == name) found.insert(kind);
+  return {found.begin(), found.end()};
+}
+
 std::string name_of(fault_kind kind) {
   switch (kind) {
     case fault_kind::crash:
--- a/tests/model/plan.h
+++ b/tests/model/plan.h
@@ -36,7 +36,8 @@
 struct run_options {
   std::uint64_t seed = 1;
   int voters = 3, spares = 2;
-  std::uint64_t variation = 0;  // another order of messages under the same faults
+  std::uint64_t variation = 0;    // another order of messages under the same faults
+  std::vector<fault_kind> kinds;  // only these; empty: as the seed says
   bool all_faults = true;
   std::vector<int> only_faults;      // by position in the plan; unless all of them
   std::optional<std::int64_t> span;  // microseconds until the writers stop
@@ -52,5 +53,7 @@
 
 run_plan make_plan(const run_options& options);
 std::string name_of(fault_kind kind);
+// Every kind that has this name.
+std::vector<fault_kind> kinds_named(const std::string& name);
 
 }  // namespace herontally::model
--- a/tests/model/shrink.cc
+++ b/tests/model/shrink.cc
@@ -81,10 +81,17 @@
   return shrinker(failing, result).run();
 }
 
+static std::string names_of(const std::vector<fault_kind>& kinds) {
+  std::string names;
+  for (auto kind : kinds) names += (names.empty() ? "" : ",") + name_of(kind);
+  return names;
+}
+
 std::string command_of(const run_options& options) {
   auto seed = std::to_string(options.seed);
   std::string command = "register_model --seeds " + seed + ".." + seed;
   command += " --voters " + std::to_string(options.voters) + " --spares " + std::to_string(options.spares);
+  if (!options.kinds.empty()) command += " --only '" + names_of(options.kinds) + "'";
   if (options.variation > 0) command += " --variation " + std::to_string(options.variation);
   if (options.span) command += " --span_ms " + std::to_string(*options.span / 1000);
   if (options.all_faults) return command;
