--- a/src/register/change_view.cc
+++ b/src/register/change_view.cc
@@ -22,7 +22,7 @@
   auto mutate = [next, expected](const std::optional<std::string>& current) -> std::optional<std::string> {
     view now = current ? view_from(*current) : view{};
     bool other = now.number != expected && !broken("view_number");
-    bool superseded = now.epoch > next.epoch && !broken("epoch");
+    bool superseded = now.epoch > next.epoch;
     if (other || superseded) return std::nullopt;
     return view_text(next);
   };
