Test: a core that was away for 300 changes of 100 KB carries its part after its return

Stopped, with its disk lost, and cut off: it answers nothing older on its return, and 4.2 s later it bears the next loss.

--- /dev/null
+++ b/tests/control_catch_up_test.cc
@@ -0,0 +1,75 @@
+// Hundreds of changes, and then a core that was away for all of them.
+#include "control_setting.h"
+
+using namespace herontally;
+using namespace herontally::tests;
+
+namespace {
+
+constexpr int changes = 300;
+// Some 100 KB each.
+constexpr int routes_in_a_table = 500;
+
+std::string large_table(int version) {
+  json routes = json::array();
+  for (int number = 0; number < routes_in_a_table; ++number) {
+    std::string label = "route-" + std::to_string(number);
+    routes.push_back({{"label", label},
+                      {"authority", "a.example"},
+                      {"path_prefix", "/" + label + "/"},
+                      {"category", "idempotent"},
+                      {"deadline_ms", 1000 + version},
+                      {"backend", "chat"}});
+  }
+  json services = json::array({{{"label", "chat"}, {"probe", "/health"}}});
+  return json{{"generation", version}, {"routing", routes}, {"backends", services}}.dump();
+}
+
+enum class absence { stopped, disk_lost, cut_off };
+
+void leave(control_site& site, absence how) {
+  if (how == absence::cut_off) {
+    for (auto& other : site.world.names()) {
+      if (other == "c3") continue;
+      site.world.cut("c3", other);
+      site.world.cut(other, "c3");
+    }
+    return;
+  }
+  site.world.kill("c3", how == absence::disk_lost ? hsim::disk_loss::all : hsim::disk_loss::none, true);
+}
+
+void come_back(control_site& site, absence how) {
+  site.world.heal_all();
+  if (how != absence::cut_off) site.boot_core("c3", false);
+}
+
+}  // namespace
+
+TEST_CASE("a core that missed hundreds of changes carries its part seconds after its return") {
+  for (auto how : {absence::stopped, absence::disk_lost, absence::cut_off}) {
+    INFO("absence " << static_cast<int>(how));
+    control_site site(41 + static_cast<std::uint64_t>(how));
+    site.boot_all();
+    REQUIRE(site.status("c1", "POST", "/-/config/replace", large_table(1), "0") == 200);
+    site.world.run_for(4 * second);
+    leave(site, how);
+    for (int version = 2; version <= changes; ++version)
+      REQUIRE(site.status(version % 2 ? "c1" : "c2", "POST", "/-/config/replace", large_table(version),
+                          std::to_string(version - 1)) == 200);
+    come_back(site, how);
+    // Whatever it answers from now on is the newest, or that it can't tell.
+    for (int look = 0; look < 20; ++look) {
+      auto page = site.ask("c3", "GET", "/-/config/read");
+      CHECK((page.status >= 500 || page.status == 0 || page.body == large_table(changes)));
+      site.world.run_for(100 * millisecond);
+    }
+    site.world.run_for(2200 * millisecond);
+    // The next loss, 4.2 s after the return, leaves it as half of the majority.
+    site.world.kill("c1", hsim::disk_loss::all, true);
+    CHECK(site.status("c3", "GET", "/-/config/read") == 200);
+    CHECK(site.ask("c3", "GET", "/-/config/read").body == large_table(changes));
+    CHECK(site.status("c2", "POST", "/-/config/replace", large_table(changes + 1), std::to_string(changes)) ==
+          200);
+  }
+}
