Fill: an unreadable record makes its source unfit; hsim: an end may pass a beginning

A record that is listed but whose value can't be read went out as removed; the source now fails and another one is asked.

--- a/src/hsim/site_operators.cc
+++ b/src/hsim/site_operators.cc
@@ -105,9 +105,10 @@
 
 rt::task<> site::change_zone(std::string zone, bool evacuate) {
   auto cores = of_role("hcore");
-  if (!evacuate) state_->judge.evacuation_ended(zone);
   for (int attempt = 0; attempt < 10; ++attempt) {
     auto asked = state_->where.now();
+    // An order to begin may still be under way and be acknowledged between two orders to end.
+    if (!evacuate) state_->judge.evacuation_ended(zone);
     auto result = co_await operate(cores[static_cast<std::size_t>(attempt) % cores.size()],
                                    evacuate ? "PUT" : "DELETE", "/v1/zones/" + zone + "/evacuation", "", "");
     if (result.status == 200) {
--- a/src/register/fill.cc
+++ b/src/register/fill.cc
@@ -28,7 +28,14 @@
   std::size_t bytes = 0;
   for (auto& record : question.records) {
     if (!receipt.values.empty() && bytes > page_bytes) break;
-    receipt.values.push_back(read(record).value_or(""));
+    auto value = read(record);
+    // Listed, but not to be read: another voter has to be the source.
+    if (!value && holds(record)) {
+      receipt.verdict = "failed";
+      receipt.values.clear();
+      return receipt;
+    }
+    receipt.values.push_back(value.value_or(""));
     bytes += receipt.values.back().size() + record.size();
   }
   return receipt;
@@ -42,10 +49,10 @@
   work.urgent = true;
   work.bytes = bytes.size();
   work.apply = [&holder, record, bytes = std::move(bytes), refused, done](auto& overlay) {
-    auto own = holder.read(overlay, record);
     if (record[0] != 'k') {
-      if (!own) overlay[record] = bytes;
+      if (!holder.holds(overlay, record)) overlay[record] = bytes;
     } else {
+      auto own = holder.read(overlay, record);
       cell mine = own ? cell::unpack(*own) : cell{}, copy = cell::unpack(bytes);
       bool newer = copy.accepted > mine.accepted;
       if (newer && copy.accepted < mine.promised) refused->insert(record);
@@ -91,10 +98,8 @@
 
 bool voter::state::lacks(const std::string& record, const wire::ballot& accepted,
                          const wire::ballot& promised) const {
-  auto& store = const_cast<state*>(this)->bucket_of(record).store;
-  if (!store.contains(record)) return true;
-  if (record[0] != 'k') return false;
-  auto own = store.read(record);
+  if (record[0] != 'k') return !holds(record);
+  auto own = read(record);
   if (!own) return true;
   auto mine = cell::unpack_ballots(*own);
   return accepted > mine.accepted || promised > mine.promised;
