--- a/src/register/fill.cc
+++ b/src/register/fill.cc
@@ -28,9 +28,10 @@
   std::size_t bytes = 0;
   for (auto& record : question.records) {
     if (!receipt.values.empty() && bytes > page_bytes) break;
+    bool held = holds(record);
     auto value = read(record);
-    // Listed, but not to be read: another voter has to be the source.
-    if (!value && holds(record)) {
+    // It is here but can't be read: another voter has to be the source.
+    if (held && !value) {
       receipt.verdict = "failed";
       receipt.values.clear();
       return receipt;
--- a/tests/register_damage_test.cc
+++ b/tests/register_damage_test.cc
@@ -69,3 +69,26 @@
   for (int number = 0; number < 6; ++number)
     REQUIRE((*bodies)[static_cast<std::size_t>(5 - number)] == body(number));
 }
+
+TEST_CASE("a joining voter fetches from another source what one can't read") {
+  for (std::uint64_t seed = 43; seed < 49; ++seed) {
+    group site(seed, 4);
+    auto writer = site.begin();
+    reg::view first = writer.current();
+    auto lay = [first](const std::optional<std::string>&) {
+      return std::optional<std::string>(reg::view_text(first));
+    };
+    site.run("w", writer.change(reg::view_key_of("store"), lay, site.deadline("w", 3 * second)));
+    for (int number = 0; number < 6; ++number)
+      REQUIRE(site.run("w", writer.put_content("turn/" + std::to_string(number), body_of(number),
+                                               site.deadline("w", second), false)));
+    site.world.run_for(second);
+    for (auto& name : {"s1", "s2"}) REQUIRE(damage(site.world, name, body_of(2)) > 0);
+    // The one that leaves is the only one that can read it.
+    auto wanted = site.places({"s1", "s2", "s4"});
+    auto begun = site.run("w", reg::begin_move(writer, writer, wanted, 0, site.deadline("w", 5 * second)));
+    REQUIRE(std::holds_alternative<reg::view>(begun));
+    REQUIRE(site.run("w", reg::finish_move(writer, writer, site.deadline("w", 5 * second))));
+    REQUIRE(site.voters["s4"]->content("turn/2") == body_of(2));
+  }
+}
