Dismiss left-out machines only once a quorum has the view without them

Found by the register's model: a machine that the newest chosen view leaves out was told so, and wiped itself, before a quorum had that view installed. The joint view before it may still need what the machine holds: one lost disk then left no majority of the voters before. The chosen view is installed at a quorum first.

--- a/src/hcore/node_state.h
+++ b/src/hcore/node_state.h
@@ -127,9 +127,11 @@
   task<std::vector<voter_observation>> observe_voters(reg::view agreed, std::string role);
   std::vector<reg::voter_place> possible_spares(const std::vector<voter_observation>& observed,
                                                 const std::string& role) const;
-  task<bool> identify_chosen(std::vector<reg::voter_place>* wanted, std::vector<reg::voter_place>* spares,
-                             reg::view agreed);
-  task<std::optional<std::vector<reg::voter_place>>> plan_group(reg::view agreed, std::string role);
+  task<bool> identify_chosen(reg::proposer group, std::vector<reg::voter_place>* wanted,
+                             std::vector<reg::voter_place>* spares, reg::view agreed);
+  task<std::optional<std::vector<reg::voter_place>>> plan_group(reg::proposer group, reg::view agreed,
+                                                                std::string role);
+  task<> dismiss(reg::proposer group, reg::voter_place place, reg::view agreed);
   void report_shortfall(const reg::view& agreed);
   task<> review_group(reg::proposer group, std::string name, std::string role);
   task<> keep_group(reg::proposer group, std::string name, std::string role);
--- a/src/hcore/voter_moves.cc
+++ b/src/hcore/voter_moves.cc
@@ -1,6 +1,8 @@
 // Keeps the groups of voters as they should be: moves that were begun are finished, lost voters replaced,
 // retiring ones emptied, groups grown and spread over zones. Each group has a task of its own, so that a move
 // of one that can't go on holds up nothing of the other.
+#include <algorithm>
+
 #include "hcore/node_state.h"
 
 namespace herontally::hcore {
@@ -34,6 +36,7 @@
   auto& since = self->gone_since["voter/" + place.id];
   if (answer) {
     since = 0;
+    seen.answered = true;
     if (answer->voter != place.id) seen.condition = voter_condition::lost;
     co_return seen;
   }
@@ -92,7 +95,7 @@
 
 // Fills in the identities of the spares that the plan chose. A machine that can't join (it is out of reach,
 // or holds records of an earlier view) is taken off the list, and true returned: plan again.
-task<bool> node::state::identify_chosen(std::vector<reg::voter_place>* wanted,
+task<bool> node::state::identify_chosen(reg::proposer group, std::vector<reg::voter_place>* wanted,
                                         std::vector<reg::voter_place>* spares, reg::view agreed) {
   auto self = shared_from_this();
   bool any_unfit = false;
@@ -107,24 +110,43 @@
     }
     any_unfit = true;
     std::erase_if(*spares, [&](auto& spare) { return spare.id == unidentified; });
-    // It was left out of a view while it was away: told so, it wipes itself and is a spare.
     bool outdated = answer && !answer->view.empty() && !agreed.joint() && !agreed.has(answer->voter);
     if (!outdated) continue;
     place.id = answer->voter;
-    co_await reg::install_at(self->port, place, agreed);
+    co_await self->dismiss(group, place, agreed);
   }
   co_return any_unfit;
 }
 
+// A machine that was left out of a view while it was away is told so: it wipes itself and is a spare. Until a
+// quorum has the view installed, the joint view before it may still need what the machine holds.
+task<> node::state::dismiss(reg::proposer group, reg::voter_place place, reg::view agreed) {
+  auto self = shared_from_this();
+  bool installed = co_await reg::install_chosen(group, agreed, self->runtime.now() + agreement_timeout);
+  if (installed) co_await reg::install_at(self->port, place, agreed);
+}
+
+// Growth and a better spread can wait for a moment in which every voter answers; replacing a lost or a
+// retiring one can't.
+static bool may_wait(const std::vector<voter_observation>& observed) {
+  return std::all_of(observed.begin(), observed.end(),
+                     [](auto& seen) { return seen.condition == voter_condition::present && !seen.retiring; });
+}
+static bool all_answered(const std::vector<voter_observation>& observed) {
+  return std::all_of(observed.begin(), observed.end(), [](auto& seen) { return seen.answered; });
+}
+
 // The voters that the group should have now, all with their identities.
-task<std::optional<std::vector<reg::voter_place>>> node::state::plan_group(reg::view agreed,
+task<std::optional<std::vector<reg::voter_place>>> node::state::plan_group(reg::proposer group,
+                                                                           reg::view agreed,
                                                                            std::string role) {
   auto self = shared_from_this();
   auto observed = co_await self->observe_voters(agreed, role);
+  if (!agreed.joint() && may_wait(observed) && !all_answered(observed)) co_return agreed.voters;
   auto spares = self->possible_spares(observed, role);
   for (int round = 0; round < planning_rounds; ++round) {
     auto wanted = plan_voters(agreed, observed, spares, self->budget());
-    bool again = co_await self->identify_chosen(&wanted, &spares, agreed);
+    bool again = co_await self->identify_chosen(group, &wanted, &spares, agreed);
     if (!again) co_return wanted;
   }
   co_return std::nullopt;
@@ -158,7 +180,7 @@
   auto agreed = co_await reg::agreed_view(self->catalog, name, self->runtime.now() + agreement_timeout);
   if (!agreed || agreed->number == 0) co_return;
   if (group.current().number == 0) group.learn(*agreed);
-  auto wanted = co_await self->plan_group(*agreed, role);
+  auto wanted = co_await self->plan_group(group, *agreed, role);
   if (wanted && !wanted->empty() && !reg::view::same_members(*wanted, agreed->voters)) {
     self->journal.info("moving a group of voters", {{"group", name},
                                                     {"view", agreed->number},
--- a/src/hcore/voter_plan.h
+++ b/src/hcore/voter_plan.h
@@ -21,6 +21,7 @@
   reg::voter_place place;
   voter_condition condition = voter_condition::present;
   bool retiring = false;
+  bool answered = false;  // just now, under whatever identity
 };
 
 // The voters that the group should have. Present voters stay; lost and retiring ones are replaced by spares;
--- a/tests/model/mover.cc
+++ b/tests/model/mover.cc
@@ -114,12 +114,15 @@
 // A machine that a move has left out while it was out of reach is told, so that it wipes itself.
 void tell_outdated(mover& self, const reg::view& agreed) {
   if (agreed.joint()) return;
-  auto tell = [](wire::port port, reg::voter_place place, reg::view agreed) -> runtime::task<> {
-    co_await reg::install_at(port, place, agreed);
+  // Only once a quorum has the view installed: until then the joint view before it may need what they hold.
+  auto tell = [](reg::proposer group, reg::voter_place place, reg::view agreed) -> runtime::task<> {
+    auto port = group.port();
+    bool installed = co_await reg::install_chosen(group, agreed, port.runtime().now() + view_timeout);
+    if (installed) co_await reg::install_at(port, place, agreed);
   };
   for (auto& [node, each] : self.seen) {
     bool outdated = each.has_view && !agreed.has(each.place.id);
-    if (outdated) self.group.port().runtime().spawn(tell(self.group.port(), each.place, agreed));
+    if (outdated) self.group.port().runtime().spawn(tell(self.group, each.place, agreed));
   }
 }
 
