--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -9,6 +9,9 @@
 #include <chrono>
 #include <thread>
 
+// Builds with a sanitizer return to main, so that leaks are looked for: there is no such end in them.
+#ifndef __SANITIZE_ADDRESS__
+
 using namespace herontally;
 
 namespace {
@@ -50,7 +53,6 @@
 
 }  // namespace
 
-#ifndef __SANITIZE_ADDRESS__
 TEST_CASE("a process ends on its notice, whatever static objects would still wait for") {
   int ends[2];
   REQUIRE(pipe(ends) == 0);
@@ -71,4 +73,5 @@
   CHECK(WIFEXITED(*status));
   CHECK(WEXITSTATUS(*status) == 0);
 }
+
 #endif
