Leave voters that are behind out of new contents, as long as others make a quorum

Cause: each turn's record goes whole to every voter, and nobody sent less to one that answers late. Change: a proposer counts the bytes that each voter hasn't answered (a timed-out message for 2 s more) and leaves a voter with more than 96 KB out, if the others make a quorum; repair brings it what it missed.

--- a/src/register/contents.cc
+++ b/src/register/contents.cc
@@ -7,12 +7,31 @@
 using runtime::millisecond;
 using runtime::task;
 
-static task<> put_one(wire::port port, std::string address, wire::content_put question,
-                      runtime::mailbox<std::pair<std::string, std::string>> box) {
-  std::string id = question.voter;
+struct put_answer {
+  std::string voter, verdict;
+};
+
+static task<> put_one(wire::port port, std::string address, wire::content_put question, voter_pace pace,
+                      runtime::mailbox<put_answer> answers) {
+  std::string voter = question.voter;
+  std::size_t bytes = question.body.size();
+  pace.sent(voter, bytes);
   auto result = co_await port.ask(std::move(address), std::move(question), round_timeout);
   auto* receipt = std::get_if<wire::content_put_receipt>(&result);
-  box.push({id, receipt ? receipt->verdict : std::string()});
+  if (receipt)
+    pace.answered(voter, bytes);
+  else
+    pace.timed_out(voter, bytes);
+  answers.push({voter, receipt ? receipt->verdict : std::string()});
+}
+
+// A voter that is behind is left out while the others make a quorum: repair brings it what it missed.
+static std::vector<voter_place> places_to_ask(const view& used, const voter_pace& pace, bool first_turn) {
+  std::vector<voter_place> in_time;
+  for (auto& place : used.all())
+    if (!pace.behind(place.id)) in_time.push_back(place);
+  auto asked = [&in_time](const std::string& id) { return view::contains(in_time, id); };
+  return first_turn && used.quorum(asked) ? in_time : used.all();
 }
 
 task<bool> proposer::put_content(std::string digest, std::string body, microseconds deadline, bool urgent) {
@@ -21,20 +40,22 @@
   for (int turn = 0; runtime.now() < deadline; ++turn) {
     if (self->current.voters.empty() || turn > 0) co_await refresh(deadline);
     view used = self->current;
-    runtime::mailbox<std::pair<std::string, std::string>> box(runtime);
-    auto places = used.all();
+    runtime::mailbox<put_answer> answers(runtime);
+    auto places = places_to_ask(used, self->pace, turn == 0);
+    if (places.size() < used.all().size())
+      self->port.journal().count("herontally_late_voters_left_out_total");
     for (auto& place : places) {
       wire::content_put question{place.id, digest, body, urgent, used.number};
-      runtime.spawn(put_one(self->port, place.address, std::move(question), box));
+      runtime.spawn(put_one(self->port, place.address, std::move(question), self->pace, answers));
     }
     std::set<std::string> yes;
     for (std::size_t heard = 0; heard < places.size(); ++heard) {
-      auto word = co_await box.pop(std::max<microseconds>(0, deadline - runtime.now()));
-      if (!word) break;
-      if (word->second == "yes") yes.insert(word->first);
+      auto answer = co_await answers.pop(std::max<microseconds>(0, deadline - runtime.now()));
+      if (!answer) break;
+      if (answer->verdict == "yes") yes.insert(answer->voter);
       // It may have missed the installation; a voter that is further on passes it over.
-      if (word->second == "view") self->send_view(used, word->first);
-      // Each of these had this view when it took the content, so that a move that fills a newcomer after
+      if (answer->verdict == "view") self->send_view(used, answer->voter);
+      // Each of these had this view when it took the content, so that a move that fills a joining voter after
       // it, from a majority that has the next view, lists the content.
       if (used.quorum([&yes](const std::string& id) { return yes.count(id) > 0; })) co_return true;
     }
--- a/src/register/proposer_state.h
+++ b/src/register/proposer_state.h
@@ -3,6 +3,7 @@
 #include <unordered_map>
 
 #include "register/proposer.h"
+#include "register/voter_pace.h"
 
 namespace herontally::reg {
 
@@ -36,10 +37,12 @@
   std::function<std::vector<std::string>()> seeds;
   std::int64_t identity, counter = 0, highest_seen = 0;
   bool unknown_voters = false;
+  voter_pace pace;
   // What was used last is in the young map; once that is full it takes the place of the old one, whose
   // entries nobody has used for as long.
   std::unordered_map<std::string, head_start> ahead, ahead_old;
-  state(wire::port from, std::string name) : port(std::move(from)), group(std::move(name)) {
+  state(wire::port from, std::string name)
+      : port(std::move(from)), group(std::move(name)), pace(port.runtime()) {
     // A proposer's identity must differ from every other's, also from its own before a restart.
     identity = static_cast<std::int64_t>(port.runtime().random()() >> 1);
   }
