--- a/src/hsim/measure_repair.cc
+++ b/src/hsim/measure_repair.cc
@@ -78,7 +78,7 @@
       "| lost | records | time to a new view s | time to full copies s | messages | bytes "
       "|\n|---|---|---|---|---|---|\n");
   for (std::string role : {"hstore", "hcore"})
-    for (int records : {1000, 10000}) {
+    for (int records : {1000, 10000, 40000}) {
       filled_site run(33);
       if (!run.begin(role == "hcore" ? 10 : records)) continue;
       run.where.run_for(6 * rt::second);
