--- a/tests/register_test.cc
+++ b/tests/register_test.cc
@@ -153,7 +153,7 @@
   }
 }
 
-TEST_CASE("a voter that a chosen view leaves out wipes itself and is a unknown voter afterwards") {
+TEST_CASE("a voter that a chosen view leaves out wipes itself and is an unknown voter afterwards") {
   group site(9, 4);
   auto writer = site.begin();
   site.run("w", writer.change("k", set_to("old"), site.deadline("w", 3 * second)));
