Engine list: asked for as soon as a core without one owns the role

Cause: each core that comes up takes the role over from the one before, and every new owner waited 250 ms before its first call to the platform. Change: an owner without a list asks at once; with a list it pauses as before. Six calls to the platform at most. The test fails on the code before.

--- a/src/control_node/engine_list_poller.cc
+++ b/src/control_node/engine_list_poller.cc
@@ -11,9 +11,11 @@
 // Published again this often, for a core that was away when the list was new.
 constexpr microseconds republish_period = 400 * millisecond;
 constexpr microseconds adapter_check_period = 50 * millisecond;
+// Until there is a list, the role is looked for more often than that.
+constexpr microseconds first_list_check_period = 10 * millisecond;
 constexpr microseconds min_adapter_poll_period = 500 * millisecond;
-// Without a list, nodes that have just started wait for one.
-constexpr microseconds first_poll_delay = 250 * millisecond;
+// Without a list no node can serve: the platform is asked at once, and soon again while it is silent.
+constexpr microseconds first_list_retry = 250 * millisecond;
 constexpr double min_list_rate = 0.1;
 
 }  // namespace
@@ -71,18 +73,21 @@
   }
 }
 
-// The list is read as soon as the role has stayed here for a moment, while cores that come up take it from
-// each other.
+// While cores come up they take the role from each other, and each one without a list reads it as soon as the
+// role is its own: that costs a few calls to the platform more than waiting until the role has come to rest,
+// and every node waits for the first list. An owner that has a list leaves a pause after its predecessor's.
 bool engine_list_poller::is_poll_due() {
   auto& shared = *context_;
   if (!shared.engine_list_role.is_owner() || shared.place.platform.empty()) return false;
   auto now = shared.runtime.now();
-  if (polled_epoch_ != shared.engine_list_role.epoch()) {
+  bool none = shared.configs.engines_text().empty();
+  bool new_epoch = polled_epoch_ != shared.engine_list_role.epoch();
+  if (new_epoch) {
     polled_epoch_ = shared.engine_list_role.epoch();
     polled_ = now;
   }
-  bool none = shared.configs.engines_text().empty();
-  return now - polled_ >= (none ? first_poll_delay : pause_);
+  if (none && new_epoch) return true;
+  return now - polled_ >= (none ? first_list_retry : pause_);
 }
 
 task<> engine_list_poller::poll_with_adapter() {
@@ -118,7 +123,8 @@
 task<> engine_list_poller::run_with_adapter() {
   auto self = shared_from_this();
   while (true) {
-    co_await self->context_->runtime.sleep(adapter_check_period);
+    bool none = self->context_->configs.engines_text().empty();
+    co_await self->context_->runtime.sleep(none ? first_list_check_period : adapter_check_period);
     if (self->is_poll_due()) co_await self->poll_with_adapter();
   }
 }
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -173,6 +173,24 @@
   CHECK(site.logged("engine list changed") == 1);
 }
 
+TEST_CASE("after a loss of all cores the engine list is asked for as soon as one of them owns the role") {
+  control_site site(17);
+  site.page_two = json::array({{{"id", "i-1"}, {"backend", "chat"}, {"endpoint", "10.9.9.9:80"}}});
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  site.world.run_for(3 * second);
+  for (auto name : {"c1", "c2", "c3"}) site.world.kill(name, simulator::disk_loss::unsynced);
+  site.world.run_for(500 * millisecond);
+  site.lines.clear();
+  site.asked.clear();
+  for (auto name : {"c1", "c2", "c3"}) site.boot_core(name, false);
+  REQUIRE(site.world.run_until([&] { return site.logged("singleton role claimed") > 0; }, 5 * second));
+  REQUIRE(site.world.run_until([&] { return site.logged("engine list changed") > 0; }, 60 * millisecond));
+  // Two pages for each core that took the role on the way, and no more.
+  site.world.run_for(400 * millisecond);
+  CHECK(site.asked.size() <= 6);
+}
+
 TEST_CASE("a storage machine that is gone for good is replaced before its successor is counted on") {
   control_site site(17);
   site.boot_all();
