Inner channels: give a connection up that isn't open after 250 ms

Cause: a machine without power drops the opening packet, and the kernel sends it again after a second. Change: the channel ends after 250 ms, and the next call opens another. Measured: by the test (a listener whose queue is full); without the change the call ends by its own timeout.

--- a/src/runtime/rpc_channels.cc
+++ b/src/runtime/rpc_channels.cc
@@ -16,6 +16,10 @@
 namespace {
 constexpr std::size_t frame_header_bytes = 13;
 enum : unsigned char { frame_kind_request = 0, frame_kind_reply = 1 };
+// A machine that lost power, or has too many connections waiting, drops the opening packet, and the kernel
+// sends it again only after a second. A channel that isn't open by now ends, so that the next call opens
+// another; regions lie some ten milliseconds apart.
+constexpr microseconds connect_timeout = 250 * millisecond;
 
 }  // namespace
 
@@ -162,6 +166,14 @@
   part->channels[entry->number] = std::move(entry);
 }
 
+static void end_unless_connected(const std::weak_ptr<channel_part>& weak, std::uint64_t number) {
+  auto part = weak.lock();
+  if (!part) return;
+  auto found = part->channels.find(number);
+  if (found == part->channels.end() || found->second->connected) return;
+  close_channel(part.get(), number, channel_error::unreachable);
+}
+
 static channel* channel_to(channel_part* part, const std::string& peer) {
   auto found = part->by_peer.find(peer);
   if (found != part->by_peer.end()) return part->channels[found->second].get();
@@ -186,6 +198,9 @@
     close_channel(part, result->number, channel_error::unreachable);
     return nullptr;
   }
+  part->after(connect_timeout, [weak = part->weak_from_this(), number = result->number] {
+    end_unless_connected(weak, number);
+  });
   return result;
 }
 
