Repair: leave joining voters to their catch-up, and walk all records once

Cause: while two voters joined with empty disks, each staying voter's repair handed them every record as well (three times what the catch-up fetches), range by range, and each of up to 256 differing ranges cost both voters a pass over all keys. Change: no comparing with or by a joining voter; above 32 differing ranges one walk over all; a page of a listing stops at its limit over all buckets together instead of in each. The first test fails before.

--- a/src/replication/acceptor.cc
+++ b/src/replication/acceptor.cc
@@ -183,24 +183,23 @@
     reply.status = reply_status::view_mismatch;
   if (reply.status != reply_status::none) return reply;
   reply.status = reply_status::ok;
-  // The buckets' records, merged in order.
+  // The first records of all buckets, merged in order.
   std::map<std::string, replica_storage::cell_ballots> merged;
   auto limit = static_cast<std::size_t>(std::clamp<std::int64_t>(request.limit, 1, max_listed_records));
-  for (auto& bucket : self.records.buckets()) {
-    std::size_t listed = 0;
-    auto take = [&](const storage::listed_record& record) {
-      bool in_range = request.range < 0 || static_cast<std::int64_t>(record.range) == request.range;
-      if (replica_storage::is_own_record(record.key) || !in_range) return true;
-      merged[record.key] = replica_storage::ballots_of(record);
-      return ++listed <= limit;
-    };
+  auto take = [&](const storage::listed_record& record) {
+    bool in_range = request.range < 0 || static_cast<std::int64_t>(record.range) == request.range;
+    if (replica_storage::is_own_record(record.key) || !in_range) return true;
+    bool beyond_page = merged.size() == limit && record.key > merged.rbegin()->first;
+    if (!beyond_page) merged[record.key] = replica_storage::ballots_of(record);
+    bool overfull = merged.size() > limit;
+    if (overfull) merged.erase(std::prev(merged.end()));
+    reply.more = reply.more || beyond_page || overfull;
+    // Buckets list in order: all that follows in this one lies beyond the page as well.
+    return !beyond_page;
+  };
+  for (auto& bucket : self.records.buckets())
     bucket->store.list_from(replica_storage::just_after(request.after), take);
-  }
   for (auto& [record, ballots] : merged) {
-    if (reply.keys.size() == limit) {
-      reply.more = true;
-      break;
-    }
     reply.keys.push_back(record);
     reply.ballots.push_back(ballots.accepted);
     reply.promised.push_back(ballots.promised);
--- a/src/replication/repair.cc
+++ b/src/replication/repair.cc
@@ -24,6 +24,9 @@
 // A checksum range of records, or all of them.
 using record_range = std::int64_t;
 constexpr record_range all_ranges = -1;
+// Each range that is walked alone costs both voters a pass over all their keys. From this many on, one walk
+// through all records is cheaper, though it sends the keys of ranges that agree.
+constexpr std::size_t ranges_walked_alone = storage::range_count / 8;
 
 task<bool> hand_over(rpc::endpoint endpoint, voter_info peer, std::int64_t view, std::string record,
                      std::string bytes) {
@@ -136,6 +139,7 @@
   std::vector<record_range> differing;
   if (reply && reply->status == reply_status::ok && reply->checksums.size() == storage::range_count)
     differing = differing_ranges(self->records.checksums(), reply->checksums);
+  if (differing.size() > ranges_walked_alone) differing = {all_ranges};
   auto* failure = std::get_if<rpc::error>(&result);
   // A peer of an older version has no checksums: then all is walked.
   if (failure && *failure == rpc::error::refused) differing.push_back(all_ranges);
@@ -165,14 +169,24 @@
   co_return rpc::repair_record_reply{reply.status};
 }
 
+// A joining voter fetches all records by itself (replication/catch_up.h). Whoever handed them over beside
+// that would bring each record once more, from every voter that stays.
+static bool takes_part_in_repair(const consensus::view& current, const std::string& voter) {
+  bool joins = current.joint() && !consensus::contains(current.previous_voters, voter);
+  return !joins;
+}
+
 task<> repair_forever(std::shared_ptr<replica> self) {
   auto runtime = self->endpoint.runtime();
   while (true) {
     auto spread = static_cast<microseconds>(runtime.draw(round_pause_spread));
     co_await runtime.sleep(min_round_pause + spread);
     if (self->current_view.voters.empty() || self->wiping) continue;
-    for (auto& peer : self->current_view.all_voters())
-      if (peer.id != self->identity) co_await compare_with(self, peer);
+    for (auto& peer : self->current_view.all_voters()) {
+      auto& current = self->current_view;
+      bool useful = takes_part_in_repair(current, self->identity) && takes_part_in_repair(current, peer.id);
+      if (useful && peer.id != self->identity) co_await compare_with(self, peer);
+    }
   }
 }
 
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -171,6 +171,48 @@
   }
 }
 
+TEST_CASE("a joining voter gets its records by catching up, and from nobody's repair beside that") {
+  group site(11, 4);
+  auto writer = site.begin();
+  REQUIRE(site.run("w", writer.put_content("d1", "body", site.deadline("w", 3 * second), false)));
+  consensus::view first = writer.current_view();
+  auto lay = [first](const std::optional<std::string>&) {
+    return std::optional<std::string>(consensus::to_text(first));
+  };
+  site.run("w",
+           writer.change(reconfiguration::view_register_key("store"), lay, site.deadline("w", 3 * second)));
+  auto begun = site.run("w", reconfiguration::begin_move(writer, writer, site.places({"s1", "s2", "s4"}), 0,
+                                                         site.deadline("w", 5 * second)));
+  REQUIRE(std::holds_alternative<consensus::view>(begun));
+  auto joint = std::get<consensus::view>(begun);
+  REQUIRE(site.run("w", reconfiguration::install_chosen(writer, joint, site.deadline("w", 5 * second))));
+  // Several rounds of repair.
+  site.world.run_for(15 * second);
+  REQUIRE(site.voters["s4"]->current_view().number == joint.number);
+  CHECK_FALSE(site.voters["s4"]->content("d1").has_value());
+  REQUIRE(site.run("w", reconfiguration::finish_move(writer, writer, site.deadline("w", 30 * second))));
+  CHECK(site.voters["s4"]->content("d1") == "body");
+}
+
+TEST_CASE("a voter that missed records of every range gets them all in one walk") {
+  group site(12);
+  auto writer = site.begin();
+  site.world.kill("s3", simulator::disk_loss::none);
+  constexpr int records = 1500;  // more than a page, and some in each range
+  for (int each = 0; each < records; ++each)
+    site.run("w",
+             writer.put_content("d" + std::to_string(each), "body", site.deadline("w", 3 * second), true));
+  site.boot("s3");
+  REQUIRE(site.world.run_until(
+      [&] {
+        int stored = 0;
+        for (int each = 0; each < records; ++each)
+          stored += site.voters["s3"]->content("d" + std::to_string(each)) ? 1 : 0;
+        return stored == records;
+      },
+      20 * second));
+}
+
 TEST_CASE("a voter that a chosen view leaves out wipes itself and is an unknown voter afterwards") {
   group site(9, 4);
   auto writer = site.begin();
