Views: a voter writes one that many send once, and notifies them; each is sent once

Cause: on the way to a joint view every proposer that met a voter with the old one sent the new one with each round, and each of these requests waited at the voter by looking every 2 ms. Change: waiting requests are notified when the writing ends; a proposer sends a view to a voter once at a time.

--- a/src/consensus/proposer.cc
+++ b/src/consensus/proposer.cc
@@ -30,11 +30,6 @@
   replies.push(std::move(received));
 }
 
-task<> install_view(rpc::endpoint endpoint, std::string address, std::string id, view chosen) {
-  rpc::install_view_request request{id, to_text(chosen)};
-  co_await endpoint.call(std::move(address), std::move(request), round_timeout);
-}
-
 task<> request_view(rpc::endpoint endpoint, std::string address, std::string group,
                     runtime::mailbox<std::string> views) {
   rpc::identify_request request{group};
@@ -148,9 +143,17 @@
   }
 }
 
+task<> proposer::state::install_view(std::string address, std::string id, view chosen) {
+  auto self = shared_from_this();
+  rpc::install_view_request request{id, to_text(chosen)};
+  co_await self->endpoint.call(std::move(address), std::move(request), round_timeout);
+  self->views_under_way.erase({id, chosen.number});
+}
+
 void proposer::state::send_view(const view& chosen, const std::string& id) {
+  if (!views_under_way.insert({id, chosen.number}).second) return;
   for (auto& voter : chosen.all_voters())
-    if (voter.id == id) endpoint.runtime().spawn(install_view(endpoint, voter.address, id, chosen));
+    if (voter.id == id) endpoint.runtime().spawn(install_view(voter.address, id, chosen));
 }
 
 task<> proposer::refresh_view(microseconds deadline) {
--- a/src/consensus/proposer_state.h
+++ b/src/consensus/proposer_state.h
@@ -52,6 +52,9 @@
   bool identity_refused = false;  // a voter has another identity than the view says
   bool refreshing = false;        // a background look for a newer view is under way
   runtime::microseconds next_refresh = 0;
+  // Voters that are being sent a view, with its number: however many rounds meet the old one, it goes out
+  // once.
+  std::set<std::pair<std::string, std::int64_t>> views_under_way;
   send_window window;
   promised_ballots promised;
 
@@ -65,6 +68,7 @@
   rpc::vote_request prepare_request(const std::string& key, bool urgent);
   // Sends the view to a voter that missed its installation.
   void send_view(const view& chosen, const std::string& id);
+  runtime::task<> install_view(std::string address, std::string id, view chosen);
 
   // One attempt of a change with both rounds. Nothing: try again.
   struct attempt {
--- a/src/replication/view_installer.cc
+++ b/src/replication/view_installer.cc
@@ -8,8 +8,6 @@
 using rpc::reply_status;
 using runtime::task;
 
-constexpr runtime::microseconds poll_pause = 2 * runtime::millisecond;
-
 task<bool> reset(std::shared_ptr<replica> self) {
   self->current_view = view{};
   if (self->on_reset) self->on_reset();
@@ -34,8 +32,10 @@
   // The buckets' owners do the writing, so that none of their batches is cut in two.
   bool durable = co_await self->records.put_everywhere(replica_storage::view_record, to_text(chosen));
   if (installing_ == chosen) installing_.reset();
+  if (durable && chosen.number > self->current_view.number) self->current_view = chosen;
+  auto waiting = std::exchange(waiting_, {});
+  for (auto& waiter : waiting) waiter.set(durable);
   if (!durable) co_return false;
-  if (chosen.number > self->current_view.number) self->current_view = chosen;
   self->endpoint.logger().info("view installed", {{"group", self->group}, {"view", chosen.number}});
   if (handler_) handler_(self->current_view);
   co_return true;
@@ -54,7 +54,12 @@
   // No other view of the same number may pass the one that is being written.
   if (installing_ && chosen.number <= installing_->number && chosen != *installing_) co_return false;
   if (installing_ && *installing_ == chosen) {
-    while (installing_ && *installing_ == chosen) co_await self->endpoint.runtime().sleep(poll_pause);
+    // Every proposer that meets the old view sends the new one: they wait here by the hundred.
+    while (installing_ && *installing_ == chosen) {
+      runtime::slot<bool> ended(self->endpoint.runtime());
+      waiting_.push_back(ended);
+      co_await ended.wait();
+    }
     co_return current == chosen;
   }
   co_return co_await write(std::move(chosen));
--- a/src/replication/view_installer.h
+++ b/src/replication/view_installer.h
@@ -23,6 +23,7 @@
 
   std::shared_ptr<replica> replica_;
   std::optional<consensus::view> installing_;  // on its way to the disk
+  std::vector<runtime::slot<bool>> waiting_;   // notified when a writing ends
   std::function<void(const consensus::view&)> handler_;
 };
 
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -213,6 +213,24 @@
       20 * second));
 }
 
+TEST_CASE("a voter that many send the same view writes it once, and answers all of them") {
+  group site(13, 4);
+  auto writer = site.begin();
+  auto next = writer.current_view();
+  next.number += 1;
+  next.previous_voters = next.voters;
+  next.voters = site.places({"s1", "s2", "s4"});
+  int installed = 0;
+  for (int caller = 0; caller < 50; ++caller)
+    site.world.runtime_of("s1").spawn(
+        [](std::shared_ptr<replication::voter> voter, consensus::view chosen, int* count) -> runtime::task<> {
+          bool done = co_await voter->install(chosen);
+          *count += done ? 1 : 0;
+        }(site.voters["s1"], next, &installed));
+  REQUIRE(site.world.run_until([&] { return installed == 50; }, second));
+  CHECK(site.voters["s1"]->current_view() == next);
+}
+
 TEST_CASE("a voter that a chosen view leaves out wipes itself and is an unknown voter afterwards") {
   group site(9, 4);
   auto writer = site.begin();
