--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -20,6 +20,13 @@
   };
 }
 
+// Views follow each other in a register, which a move reads and writes.
+void record_current_view(group& site, consensus::proposer writer) {
+  auto text = consensus::to_text(writer.current_view());
+  auto key = reconfiguration::view_register_key("store");
+  site.run("w", writer.change(key, set_to(text), site.deadline("w", 3 * second)));
+}
+
 }  // namespace
 
 TEST_CASE("what a writer was told is settled stays, through kills, cuts and racing writers") {
@@ -144,11 +151,7 @@
                                   site.deadline("w", 3 * second)));
     REQUIRE(site.run("w", writer.put_content("d1", "body", site.deadline("w", 3 * second), false)));
     consensus::view first = writer.current_view();
-    auto lay = [first](const std::optional<std::string>&) {
-      return std::optional<std::string>(consensus::to_text(first));
-    };
-    site.run("w",
-             writer.change(reconfiguration::view_register_key("store"), lay, site.deadline("w", 3 * second)));
+    record_current_view(site, writer);
     std::string lost = "s" + std::to_string(1 + seed % 3);
     site.world.kill(lost, simulator::disk_loss::all, true);
     std::string leaving;
@@ -175,12 +178,7 @@
   group site(11, 4);
   auto writer = site.begin();
   REQUIRE(site.run("w", writer.put_content("d1", "body", site.deadline("w", 3 * second), false)));
-  consensus::view first = writer.current_view();
-  auto lay = [first](const std::optional<std::string>&) {
-    return std::optional<std::string>(consensus::to_text(first));
-  };
-  site.run("w",
-           writer.change(reconfiguration::view_register_key("store"), lay, site.deadline("w", 3 * second)));
+  record_current_view(site, writer);
   auto begun = site.run("w", reconfiguration::begin_move(writer, writer, site.places({"s1", "s2", "s4"}), 0,
                                                          site.deadline("w", 5 * second)));
   REQUIRE(std::holds_alternative<consensus::view>(begun));
@@ -220,12 +218,7 @@
   for (int each = 0; each < records; ++each)
     REQUIRE(site.run("w", writer.put_content("d" + std::to_string(each), std::string(2000, 'x'),
                                              site.deadline("w", 3 * second), true)));
-  consensus::view first = writer.current_view();
-  auto lay = [first](const std::optional<std::string>&) {
-    return std::optional<std::string>(consensus::to_text(first));
-  };
-  site.run("w",
-           writer.change(reconfiguration::view_register_key("store"), lay, site.deadline("w", 3 * second)));
+  record_current_view(site, writer);
   // Slow enough that a second and a third source begin beside the first.
   for (auto source : {"s1", "s2", "s3"}) site.world.net().link_delays[{source, "s4"}] = 150000;
   reconfiguration::replacement wanted{site.voters["s3"]->id(), site.places({"s4"})[0]};
@@ -261,12 +254,7 @@
   group site(9, 4);
   auto writer = site.begin();
   site.run("w", writer.change("k", set_to("old"), site.deadline("w", 3 * second)));
-  consensus::view first = writer.current_view();
-  auto lay = [first](const std::optional<std::string>&) {
-    return std::optional<std::string>(consensus::to_text(first));
-  };
-  site.run("w",
-           writer.change(reconfiguration::view_register_key("store"), lay, site.deadline("w", 3 * second)));
+  record_current_view(site, writer);
   auto before = site.voters["s2"]->id();
   reconfiguration::replacement wanted{before, site.places({"s4"})[0]};
   auto moved =
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -173,6 +173,32 @@
   CHECK(site.logged("engine list changed") == 1);
 }
 
+TEST_CASE("read again and again after a loss of all cores, the configuration is the newest or a 503") {
+  control_site site(18);
+  site.boot_all();
+  REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  REQUIRE(site.status("c2", "POST", "/-/config/replace", site.table(6), "5") == 200);
+  for (auto name : {"c1", "c2", "c3", "s1", "s2", "s3"})
+    site.world.kill(name, simulator::disk_loss::unsynced);
+  site.world.run_for(700 * millisecond);
+  for (auto name : {"c1", "c2", "c3"}) site.boot_core(name, false);
+  for (auto name : {"s1", "s2", "s3"}) site.boot_store(name);
+  int answered = 0;
+  for (int turn = 0; turn < 40; ++turn)
+    for (auto name : {"c1", "c2", "c3"}) {
+      auto page = site.ask(name, "GET", "/-/config/read");
+      if (page.status != 200) {
+        CHECK((page.status == 0 || page.status >= 500));
+        continue;
+      }
+      ++answered;
+      CHECK(json::parse(page.body)["generation"] == 6);
+      CHECK(json::parse(page.body) == json::parse(site.table(6)));
+      site.world.run_for(30 * millisecond);
+    }
+  CHECK(answered > 100);
+}
+
 TEST_CASE("after a loss of all cores the engine list is asked for as soon as one of them owns the role") {
   control_site site(17);
   site.page_two = json::array({{{"id", "i-1"}, {"backend", "chat"}, {"endpoint", "10.9.9.9:80"}}});
