Sight: why a move of voters was refused, and when a singleton role is given up

A warning with reason and both epochs, herontally_moves_refused_total by group, herontally_role_owned and herontally_role_epoch by role; a role that is given up is logged. No decision changes.

--- a/src/control_node/voter_group_manager.cc
+++ b/src/control_node/voter_group_manager.cc
@@ -195,7 +195,19 @@
   auto begun = co_await reconfiguration::begin_move(self->group_, shared->catalog, std::move(wanted),
                                                     shared->voter_groups_role.epoch(),
                                                     shared->runtime.now() + move_step);
-  co_return std::holds_alternative<view>(begun);
+  auto* why = std::get_if<reconfiguration::move_error>(&begun);
+  if (why) self->report_refusal(agreed, *why);
+  co_return why == nullptr;
+}
+
+void voter_group_manager::report_refusal(const view& agreed, reconfiguration::move_error why) const {
+  auto& logger = context_->logger;
+  logger.count("herontally_moves_refused_total{group=\"" + name_ + "\"}");
+  logger.warn("a move of a group of voters was refused", {{"group", name_},
+                                                          {"why", reconfiguration::describe(why)},
+                                                          {"view", agreed.number},
+                                                          {"view_epoch", agreed.epoch},
+                                                          {"epoch", context_->voter_groups_role.epoch()}});
 }
 
 task<> voter_group_manager::review() {
--- a/src/control_node/voter_group_manager.h
+++ b/src/control_node/voter_group_manager.h
@@ -45,6 +45,8 @@
   std::set<std::string> retiring_nodes() const;
   task<> dismiss(voter_info voter, view agreed);
   void report_shortfall(const view& agreed);
+  // `agreed`: the view from which the move was to begin.
+  void report_refusal(const view& agreed, reconfiguration::move_error why) const;
   bool is_owner() const { return context_->voter_groups_role.is_owner() && !context_->leaving; }
 
   std::shared_ptr<context> context_;
--- a/src/reconfiguration/group_move.cc
+++ b/src/reconfiguration/group_move.cc
@@ -9,6 +9,24 @@
 using runtime::microseconds;
 using runtime::task;
 
+const char* describe(move_error why) {
+  switch (why) {
+    case move_error::unreachable:
+      return "unreachable";
+    case move_error::not_empty:
+      return "not empty";
+    case move_error::not_a_voter:
+      return "not a voter";
+    case move_error::already_there:
+      return "already there";
+    case move_error::lost_race:
+      return "lost race";
+    case move_error::superseded:
+      return "superseded";
+  }
+  return "";
+}
+
 task<std::optional<view>> agreed_view(proposer catalog, std::string group, microseconds deadline) {
   auto result = co_await catalog.read(view_register_key(group), deadline);
   if (!result.known() || !result.value) co_return std::nullopt;
--- a/src/reconfiguration/group_move.h
+++ b/src/reconfiguration/group_move.h
@@ -27,6 +27,8 @@
   superseded,     // a view was laid under a higher epoch
 };
 using move_result = std::variant<view, move_error>;
+// For logs.
+const char* describe(move_error why);
 
 // Chooses the view that leads to the `wanted` voters: a joint one or, where a joint view is agreed whose
 // previous voters are the wanted ones, the end of that move. `epoch` is that of the mover's singleton role
--- a/src/singleton/singleton_role.cc
+++ b/src/singleton/singleton_role.cc
@@ -55,6 +55,8 @@
     return !live.empty() && live.front().name == members.self().name;
   }
   task<> claim();
+  void give_up(const std::string& why);
+  void report() const;
   task<> review_forever();
 };
 
@@ -70,16 +72,31 @@
   if (current.owner != owner) co_return;
   self->epoch = current.epoch;
   self->owned = true;
+  self->report();
   self->catalog.endpoint().logger().info("singleton role claimed",
                                          {{"role", self->name}, {"epoch", self->epoch}});
 }
 
+void singleton_role::state::report() const {
+  auto logger = catalog.endpoint().logger();
+  logger.gauge("herontally_role_owned{role=\"" + name + "\"}", owned ? 1 : 0);
+  logger.gauge("herontally_role_epoch{role=\"" + name + "\"}", static_cast<double>(epoch));
+}
+
+void singleton_role::state::give_up(const std::string& why) {
+  if (!owned) return;
+  owned = false;
+  report();
+  catalog.endpoint().logger().info("singleton role given up",
+                                   {{"role", name}, {"epoch", epoch}, {"why", why}});
+}
+
 task<> singleton_role::state::review_forever() {
   auto self = shared_from_this();
   auto runtime = self->catalog.endpoint().runtime();
   while (true) {
     bool first = self->is_first();
-    if (!first) self->owned = false;
+    if (!first) self->give_up("another node is first");
     if (first && !self->owned) co_await self->claim();
     co_await runtime.sleep(review_period);
   }
@@ -92,7 +109,7 @@
 bool singleton_role::is_owner() const { return state_->owned; }
 std::int64_t singleton_role::epoch() const { return state_->epoch; }
 void singleton_role::step_down(std::int64_t seen_epoch) {
-  if (seen_epoch > state_->epoch) state_->owned = false;
+  if (seen_epoch > state_->epoch) state_->give_up("superseded by epoch " + std::to_string(seen_epoch));
 }
 
 bool epoch_fence::admit(const std::string& role, std::int64_t epoch) {
