Singleton roles: an owner confirms its claim and steps down when it was superseded

A core that had just started, and knew only itself, or that acted while the owner was away, claimed the role too and laid a view under its higher epoch. Change: the owner reads its register once a second and claims anew if it is named no more; the manager of a group of voters and the storage directory, which counted a refused list as published, step down when they meet a higher epoch.

--- a/src/control_node/storage_directory.cc
+++ b/src/control_node/storage_directory.cc
@@ -18,15 +18,22 @@
   auto list = self->own_list();
   list.epoch = shared->voter_groups_role.epoch();
   if (list == self->published_) co_return;
-  auto write = [list](const std::optional<std::string>& current) -> std::optional<std::string> {
+  auto seen_epoch = std::make_shared<std::int64_t>(0);
+  auto write = [list, seen_epoch](const std::optional<std::string>& current) -> std::optional<std::string> {
     auto before = current ? json::parse(*current, nullptr, false) : json();
-    if (before.is_object() && before.value("epoch", std::int64_t{0}) > list.epoch) return std::nullopt;
+    *seen_epoch = before.is_object() ? before.value("epoch", std::int64_t{0}) : 0;
+    if (*seen_epoch > list.epoch) return std::nullopt;
     auto text = json(list).dump();
     return current == text ? std::nullopt : std::optional<std::string>(text);
   };
   auto written =
       co_await shared->catalog.change(storage_list_key, write, shared->runtime.now() + second, true);
-  if (written.known()) self->published_ = list;
+  if (!written.known()) co_return;
+  bool superseded = *seen_epoch > list.epoch;
+  if (superseded)
+    shared->voter_groups_role.step_down(*seen_epoch);
+  else
+    self->published_ = list;
 }
 
 task<std::optional<storage_list>> storage_directory::agreed(microseconds deadline) {
--- a/src/control_node/voter_group_manager.cc
+++ b/src/control_node/voter_group_manager.cc
@@ -188,13 +188,19 @@
 task<bool> voter_group_manager::begin_move(view agreed, std::vector<voter_info> wanted) {
   auto self = shared_from_this();
   auto shared = self->context_;
+  auto& role = shared->voter_groups_role;
+  // Another owner has acted since our claim, and every move of ours would be refused until we claim anew.
+  if (agreed.epoch > role.epoch()) {
+    self->report_refusal(agreed, reconfiguration::move_error::superseded);
+    role.step_down(agreed.epoch);
+    co_return false;
+  }
   shared->logger.info("moving a group of voters", {{"group", self->name_},
                                                    {"view", agreed.number},
                                                    {"from", nodes_of(agreed.voters)},
                                                    {"to", nodes_of(wanted)}});
   auto begun = co_await reconfiguration::begin_move(self->group_, shared->catalog, std::move(wanted),
-                                                    shared->voter_groups_role.epoch(),
-                                                    shared->runtime.now() + move_step);
+                                                    role.epoch(), shared->runtime.now() + move_step);
   auto* why = std::get_if<reconfiguration::move_error>(&begun);
   if (why) self->report_refusal(agreed, *why);
   co_return why == nullptr;
--- a/src/singleton/singleton_role.cc
+++ b/src/singleton/singleton_role.cc
@@ -11,6 +11,10 @@
 
 constexpr microseconds review_period = 200 * millisecond;
 constexpr microseconds claim_timeout = 2 * second;
+// How long an owner goes by its last look at the register. Whoever claimed the role in between is noticed
+// within this time, also if nobody refuses the owner's epoch.
+constexpr microseconds confirmation_period = second;
+constexpr microseconds confirmation_timeout = second;
 
 // What the role's register holds.
 struct ownership {
@@ -47,6 +51,8 @@
   rpc::node_role candidates;
   bool owned = false;
   std::int64_t epoch = 0;
+  std::string claimed_as;      // the owner's name in the register, by our last claim
+  microseconds confirmed = 0;  // when the register named us last
 
   state(membership::member_list list, consensus::proposer from, std::string role_name, rpc::node_role role)
       : members(std::move(list)), catalog(std::move(from)), name(std::move(role_name)), candidates(role) {}
@@ -55,6 +61,8 @@
     return !live.empty() && live.front().name == members.self().name;
   }
   task<> claim();
+  bool is_confirmation_due() const;
+  task<> confirm();
   void give_up(const std::string& why);
   void report() const;
   task<> review_forever();
@@ -71,12 +79,34 @@
   auto current = ownership_from_text(result.value);
   if (current.owner != owner) co_return;
   self->epoch = current.epoch;
+  self->claimed_as = owner;
+  self->confirmed = runtime.now();
   self->owned = true;
   self->report();
   self->catalog.endpoint().logger().info("singleton role claimed",
                                          {{"role", self->name}, {"epoch", self->epoch}});
 }
 
+bool singleton_role::state::is_confirmation_due() const {
+  return owned && catalog.endpoint().runtime().now() - confirmed >= confirmation_period;
+}
+
+// Being the first in order is no proof of owning the role: while this node was away, or unknown to a node
+// that had just started, another one may have claimed it, and receivers refuse the lower epoch from then on.
+task<> singleton_role::state::confirm() {
+  auto self = shared_from_this();
+  auto runtime = self->catalog.endpoint().runtime();
+  auto asked = runtime.now();
+  auto result = co_await self->catalog.read("duty/" + self->name, asked + confirmation_timeout);
+  // Without the register nobody else can claim either.
+  if (!result.known()) co_return;
+  auto current = ownership_from_text(result.value);
+  if (current.owner == self->claimed_as)
+    self->confirmed = asked;
+  else if (current.epoch > self->epoch)
+    self->give_up("superseded by epoch " + std::to_string(current.epoch));
+}
+
 void singleton_role::state::report() const {
   auto logger = catalog.endpoint().logger();
   logger.gauge("herontally_role_owned{role=\"" + name + "\"}", owned ? 1 : 0);
@@ -97,6 +127,7 @@
   while (true) {
     bool first = self->is_first();
     if (!first) self->give_up("another node is first");
+    if (first && self->is_confirmation_due()) co_await self->confirm();
     if (first && !self->owned) co_await self->claim();
     co_await runtime.sleep(review_period);
   }
--- a/src/singleton/singleton_role.h
+++ b/src/singleton/singleton_role.h
@@ -3,6 +3,10 @@
 //
 // Safety rests on the epochs, which a register hands out, not on the membership: two nodes that both believe
 // to be first never share an epoch, and receivers refuse the lower one.
+//
+// Progress rests on the owner noticing that it was superseded: it confirms its claim at the register once a
+// second, and steps down when a receiver names a higher epoch. If it is still the first in order it claims
+// anew, under an epoch above the other one's.
 #pragma once
 #include "consensus/proposer.h"
 #include "membership/member_list.h"
@@ -16,7 +20,7 @@
   // out.
   singleton_role(membership::member_list members, consensus::proposer catalog, std::string name,
                  rpc::node_role candidates);
-  // Claims the role whenever this node is the first in order, until the process stops.
+  // Claims and confirms the role whenever this node is the first in order, until the process stops.
   void start();
   bool is_owner() const;
   // Under which this node owns the role, or owned it last; 0: never.
