--- a/tests/platform_simulator/main.cc
+++ b/tests/platform_simulator/main.cc
@@ -35,8 +35,10 @@
   choice.losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
   if (choice.losses < 1 || choice.losses > 2)
     settings::end_with("platform_simulator", {"--losses", "must be 1 or 2"});
-  choice.only = simulator::parse_kinds("platform_simulator", absl::GetFlag(FLAGS_only),
-                                       platform_simulator::fault_kinds());
+  auto kinds = platform_simulator::fault_kinds();
+  auto& named = platform_simulator::named_fault_kinds();
+  kinds.insert(kinds.end(), named.begin(), named.end());
+  choice.only = simulator::parse_kinds("platform_simulator", absl::GetFlag(FLAGS_only), kinds);
   return choice;
 }
 
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -80,6 +80,7 @@
   void offer(microseconds until);
   simulator::world& where() { return where_; }
   oracle& judge() { return judge_; }
+  int losses() const { return losses_; }
   std::vector<std::string> story;
   void tell(const std::string& what);
 
--- a/tests/platform_site_faults.cc
+++ b/tests/platform_site_faults.cc
@@ -18,6 +18,11 @@
   return kinds;
 }
 
+const std::vector<std::string>& named_fault_kinds() {
+  static const std::vector<std::string> kinds{"core_wipe_many"};
+  return kinds;
+}
+
 static std::string one_of(site& place, const std::vector<std::string>& names) {
   return names[place.where().draw(names.size())];
 }
@@ -103,6 +108,21 @@
   });
 }
 
+// As many cores as may be lost at once lose their disks and come back together, each knowing only itself.
+static void wipe_many_cores(site& place) {
+  auto& where = place.where();
+  auto cores = place.of_role("core");
+  std::set<std::string> lost;
+  while (lost.size() < static_cast<std::size_t>(place.losses())) lost.insert(one_of(place, cores));
+  for (auto& name : lost) {
+    place.tell("wipe " + name);
+    place.kill(name, simulator::disk_loss::all, true);
+  }
+  where.at(where.now() + 900 * millisecond, [&place, lost] {
+    for (auto& name : lost) place.boot(name);
+  });
+}
+
 // A core without its like for a long time, while operators go on, also with it.
 static void isolate_core(site& place) {
   auto& where = place.where();
@@ -128,6 +148,8 @@
     runtime.spawn(place.retire(one_of(place, place.of_role("store"))));
   } else if (kind == "zone_power") {
     lose_zone(place);
+  } else if (kind == "core_wipe_many") {
+    wipe_many_cores(place);
   } else if (kind == "core_isolated") {
     isolate_core(place);
   } else if (role == "edge" || role == "core" || role == "store") {
--- a/tests/platform_site_faults.h
+++ b/tests/platform_site_faults.h
@@ -17,6 +17,8 @@
 };
 
 const std::vector<std::string>& fault_kinds();
+// Kinds that are struck only where they are asked for by name.
+const std::vector<std::string>& named_fault_kinds();
 // Nothing is struck among cores and stores before the last loss there, or the last ones, are whole again.
 void strike(site& where, const std::string& kind);
 // A change of the configuration by the operator: "change", "amend", "race" or "invalid".
