--- a/src/simulator/site.cc
+++ b/src/simulator/site.cc
@@ -143,9 +143,11 @@
 void site::boot(const std::string& name) {
   auto& self = *state_;
   auto& machine = self.where.find(name);
-  if (machine.up) return;
+  auto place = self.places.find(name);
+  // A machine that was taken away between its loss and its start stays away.
+  if (machine.up || place == self.places.end()) return;
   self.where.boot(name);
-  auto& spot = self.places.at(name);
+  auto& spot = place->second;
   // A process that starts anew counts anew.
   spot.logger = self.logger_of(name);
   if (spot.role == "control_node") machine.node = self.start<ht::control_node::node>(spot);
