Kept turns: a turn that would outlive the turns before it holds what they said

A turn that went on from one of 50 s could not be gone on from once that one was removed (80 to 86 s after its end): 404 for a turn 222 ms old, which is LOST.

Change: a turn whose chain goes earlier than it was promised for is kept with the whole chain copied into it, and names none before it. Kept times are 15 s longer, so that programs without long pauses never copy.

--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -34,6 +34,9 @@
   std::vector<turn_record> turns;  // oldest first; the last is the one that was asked for
 };
 
+// When the first turn of the chain may be removed; the largest number for a chain without turns.
+std::int64_t kept_until(const chain_result& chain);
+
 class program_ledger {
  public:
   explicit program_ledger(consensus::proposer stores);
--- a/src/ledger/turn_chains.cc
+++ b/src/ledger/turn_chains.cc
@@ -1,5 +1,6 @@
 // Kept turns: put once under their ids, and read as chains from the cache or the stores.
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "ledger/program_ledger_state.h"
@@ -34,6 +35,12 @@
   }
 }
 
+std::int64_t kept_until(const chain_result& chain) {
+  auto earliest = std::numeric_limits<std::int64_t>::max();
+  for (auto& turn : chain.turns) earliest = std::min(earliest, turn.kept_until);
+  return earliest;
+}
+
 task<bool> program_ledger::keep_turn(turn_record record, microseconds deadline) {
   auto self = state_;
   bool kept = co_await self->stores.put_content(turn_key(record.id), to_text(record), deadline, false);
--- a/src/router/attempt.cc
+++ b/src/router/attempt.cc
@@ -12,6 +12,10 @@
 constexpr microseconds keep_grace = 200 * millisecond;
 // A turn is kept for longer than its route says by this, as clocks differ.
 constexpr microseconds retention_margin = 10 * second;
+// And by this, so that the turns of a program that goes on without a long pause need no copy of their chain.
+constexpr microseconds chain_margin = 15 * second;
+// A record beyond this size wouldn't reach the stores: a chain is copied into its last turn up to it.
+constexpr std::size_t max_copied_chain = 8u << 20;
 
 // The lower-case names that a Connection header lists.
 std::set<std::string> connection_options(const std::string& value) {
@@ -199,16 +203,24 @@
   co_return attempt_outcome::answered;
 }
 
+// A turn is kept with all turns before it. Each of those goes at a time of its own, so that a turn that would
+// outlive them holds what they said itself, and goes on from none.
+static ledger::turn_record turn_to_keep(const exchange& one, std::int64_t promised_until) {
+  ledger::turn_record record;
+  record.id = one.metadata.attempt;
+  record.kept_until = promised_until + chain_margin;
+  bool outlives_chain = one.chain_kept_until < promised_until && one.body.size() <= max_copied_chain;
+  record.previous = outlives_chain ? "" : one.metadata.previous;
+  record.input = outlives_chain ? one.body : one.request.body;
+  return record;
+}
+
 // The answer is complete only once what was said is durable: from its end on the turn may be gone on from.
 task<bool> request_router::state::keep_turn(exchange_pointer one, std::string output) {
   auto self = shared_from_this();
   if (!one->route.kept) co_return true;
-  ledger::turn_record record;
-  record.id = one->metadata.attempt;
-  record.previous = one->metadata.previous;
-  record.input = one->request.body;
+  auto record = turn_to_keep(*one, self->runtime.wall() + one->route.keep * millisecond + retention_margin);
   record.output = std::move(output);
-  record.kept_until = self->runtime.wall() + one->route.keep * millisecond + retention_margin;
   bool durable = co_await self->programs.keep_turn(std::move(record), one->deadline + keep_grace);
   if (!durable) self->logger.count("herontally_turns_not_kept_total");
   co_return durable;
--- a/src/router/request.cc
+++ b/src/router/request.cc
@@ -82,6 +82,7 @@
     co_return false;
   }
   one->body = body_after(chain, one->request.body);
+  one->chain_kept_until = ledger::kept_until(chain);
   co_return true;
 }
 
--- a/src/router/request_router_state.h
+++ b/src/router/request_router_state.h
@@ -4,6 +4,8 @@
 // attempts (request.cc: a plan for each), forwarding (attempt.cc: to the engine and back), settlement
 // (request.cc).
 #pragma once
+#include <limits>
+
 #include "router/attempt_plan.h"
 #include "router/event_scanner.h"
 #include "router/idle_limit.h"
@@ -25,7 +27,9 @@
   routing::route route;  // as the table has it; looked up anew before each further attempt
   routing::service service;
   microseconds arrived = 0, deadline = 0;
-  std::string body;           // as the engine gets it
+  std::string body;  // as the engine gets it
+  // When the first of the turns that it goes on from may be removed; the largest number: it begins a chain.
+  std::int64_t chain_kept_until = std::numeric_limits<std::int64_t>::max();
   bool reserved = false;      // a reservation is in the ledger
   std::int64_t events = 0;    // complete ones that the client was sent
   bool engine_heard = false;  // some engine has heard of it
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -120,6 +120,36 @@
   CHECK(here.seen.size() == count);
 }
 
+TEST_CASE("a turn is kept with the chain before it, however old that is") {
+  request_router_fixture here(26);
+  for (auto* name : {"s1", "s2", "s3"})
+    here.stores.world.runtime_of(name).spawn(storage_node::expire_programs_forever(
+        *here.stores.voters[name], here.stores.world.runtime_of(name), here.stores.loggers.at(name)));
+  here.engine("model", "models");
+  here.begin();
+  here.next["model"] = {behaviour{.events = 1}, behaviour{.events = 1}, behaviour{.events = 1}};
+  REQUIRE(here.request("POST", "/turn/1", "in1").status == 200);
+  auto first = here.last_attempt();
+  // Each of the next turns goes on from one that is 50 s old; they are kept for 60 s.
+  constexpr auto age = 50 * second;
+  here.stores.world.run_for(age);
+  REQUIRE(here.request("POST", "/turn/1", "in2", {{"X-Previous-Turn", first}}).status == 200);
+  auto second_turn = here.last_attempt();
+  here.stores.world.run_for(age);
+  REQUIRE(here.request("POST", "/turn/1", "in3", {{"X-Previous-Turn", second_turn}}).status == 200);
+  CHECK(here.seen.back().body == "in1e1\nin2e1\nin3");
+  auto third = here.last_attempt();
+  here.stores.world.run_for(age);
+  // Another node, which has nothing in its memory.
+  ledger::program_ledger elsewhere(here.stores.writer("w2"));
+  auto read = elsewhere.read_chain(third, here.stores.deadline("w2", 2 * second));
+  auto chain = here.stores.run("w2", std::move(read));
+  REQUIRE(chain.status == ledger::chain_status::found);
+  std::string whole;
+  for (auto& turn : chain.turns) whole += turn.input + turn.output;
+  CHECK(whole == "in1e1\nin2e1\nin3e1\n");
+}
+
 TEST_CASE("a stream that breaks off looks so, and is no turn to go on from") {
   request_router_fixture here(19);
   here.engine("model", "models");
