Simulators: an oracle for groups that stay short and owners that aren't told

A move that was refused as superseded inside begin_move was only logged; the owner steps down now, as at every other refusal.

--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -171,6 +171,13 @@
   co_return std::nullopt;
 }
 
+const replication::voter& node::voter() const { return state_->voter; }
+
+std::vector<singleton::role_status> node::roles() const {
+  auto& shared = *state_->shared;
+  return {shared.engine_list_role.status(), shared.voter_groups_role.status(), shared.calendar_role.status()};
+}
+
 task<> node::leave() {
   auto shared = state_->shared;
   shared->leaving = true;
--- a/src/control_node/node.h
+++ b/src/control_node/node.h
@@ -3,8 +3,10 @@
 #pragma once
 #include "logging/logging.h"
 #include "platform_protocol/adapter.h"
+#include "replication/voter.h"
 #include "runtime/runtime.h"
 #include "settings/settings.h"
+#include "singleton/singleton_role.h"
 
 namespace herontally::control_node {
 
@@ -20,6 +22,11 @@
   // Graceful shutdown: turns not ready and leaves the membership, within the notice.
   runtime::task<> leave();
 
+  // For simulations, which look at a node from inside: its voter, and what it believes of each singleton
+  // role.
+  const replication::voter& voter() const;
+  std::vector<singleton::role_status> roles() const;
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/src/control_node/voter_group_manager.cc
+++ b/src/control_node/voter_group_manager.cc
@@ -9,14 +9,6 @@
 
 namespace {
 
-// From when the membership gives a voter up, and it doesn't answer us either, until a spare takes its place.
-// A machine that is gone for good mustn't be waited for: until it is replaced the group has one loss less to
-// bear. One that only restarts, and finds itself replaced, is a spare.
-constexpr microseconds replacement_delay = second;
-constexpr microseconds review_period = 500 * millisecond;
-constexpr microseconds identify_timeout = 400 * millisecond;
-// One step of a review; what it leaves undone is planned anew, by what is known then.
-constexpr microseconds move_step = 3 * second;
 constexpr microseconds agreement_timeout = second;
 constexpr int planning_rounds = 4;
 constexpr microseconds no_timeout = -1;
@@ -24,7 +16,7 @@
 task<std::optional<rpc::identify_reply>> identify(rpc::endpoint endpoint, std::string address,
                                                   std::string group) {
   rpc::identify_request request{std::move(group)};
-  auto result = co_await endpoint.call(std::move(address), std::move(request), identify_timeout);
+  auto result = co_await endpoint.call(std::move(address), std::move(request), voter_identify_timeout);
   auto* reply = std::get_if<rpc::identify_reply>(&result);
   if (!reply || reply->voter.empty()) co_return std::nullopt;
   co_return *reply;
@@ -203,6 +195,7 @@
                                                     role.epoch(), shared->runtime.now() + move_step);
   auto* why = std::get_if<reconfiguration::move_error>(&begun);
   if (why) self->report_refusal(agreed, *why);
+  if (why && *why == reconfiguration::move_error::superseded) role.step_down();
   co_return why == nullptr;
 }
 
@@ -244,7 +237,7 @@
 task<> voter_group_manager::run() {
   auto self = shared_from_this();
   while (true) {
-    co_await self->context_->runtime.sleep(review_period);
+    co_await self->context_->runtime.sleep(group_review_period);
     if (!self->is_owner()) continue;
     if (self->directory_) co_await self->directory_->publish();
     co_await self->review();
--- a/src/control_node/voter_group_manager.h
+++ b/src/control_node/voter_group_manager.h
@@ -12,6 +12,15 @@
 // Stands before a node's name where the identity of its voter isn't known yet.
 constexpr const char* unidentified_prefix = "?";
 
+// From when the membership gives a voter up, and it doesn't answer us either, until a spare takes its place.
+// A machine that is gone for good mustn't be waited for: until it is replaced the group has one loss less to
+// bear. One that only restarts, and finds itself replaced, is a spare.
+constexpr microseconds replacement_delay = second;
+constexpr microseconds group_review_period = 500 * millisecond;
+constexpr microseconds voter_identify_timeout = 400 * millisecond;
+// One step of a review; what it leaves undone is planned anew, by what is known then.
+constexpr microseconds move_step = 3 * second;
+
 class voter_group_manager : public std::enable_shared_from_this<voter_group_manager> {
  public:
   // `group` proposes in the managed group, whose voters run on nodes of `role`. `directory`: published with
--- a/src/simulator/faults_aimed.cc
+++ b/src/simulator/faults_aimed.cc
@@ -23,6 +23,7 @@
     // Notified that it may go, the operators switch it off for good.
     self->tell(name + " is retired and switched off");
     self->gone.insert(name);
+    self->target.take_away(name);
     self->w().at(self->w().now(), [self, name] { self->w().kill(name, disk_loss::all, true); });
   }(shared_from_this(), leaving));
   if (how == 1)
--- a/src/simulator/faults_site.cc
+++ b/src/simulator/faults_site.cc
@@ -21,6 +21,7 @@
   std::string fresh = role == "control_node" ? "core-new" : "store-new";
   tell(name + " replaced by empty " + fresh);
   gone.insert(name);
+  target.take_away(name);
   later(span(0.2, 4),
         [self = shared_from_this(), role, fresh, zone] { self->target.add(role, fresh, zone); });
 }
--- a/src/simulator/seed_runs.h
+++ b/src/simulator/seed_runs.h
@@ -26,17 +26,24 @@
   return {std::stoull(text.substr(0, dots)), std::stoull(text.substr(dots + 2))};
 }
 
-// Kinds with commas between; ends the program with code 2 for one that isn't `known`.
-inline std::vector<std::string> parse_kinds(const std::string& program, const std::string& text,
-                                            const std::vector<std::string>& known) {
-  std::vector<std::string> chosen;
+// The names in a text with commas between.
+inline std::vector<std::string> split_names(const std::string& text) {
+  std::vector<std::string> names;
   for (std::size_t begin = 0; begin < text.size();) {
     auto end = std::min(text.find(',', begin), text.size());
-    chosen.push_back(text.substr(begin, end - begin));
-    if (std::find(known.begin(), known.end(), chosen.back()) == known.end())
-      herontally::settings::end_with(program, {"--only", "names no kind of fault: " + chosen.back()});
+    names.push_back(text.substr(begin, end - begin));
     begin = end + 1;
   }
+  return names;
+}
+
+// Kinds with commas between; ends the program with code 2 for one that isn't `known`.
+inline std::vector<std::string> parse_kinds(const std::string& program, const std::string& text,
+                                            const std::vector<std::string>& known) {
+  auto chosen = split_names(text);
+  for (auto& kind : chosen)
+    if (std::find(known.begin(), known.end(), kind) == known.end())
+      herontally::settings::end_with(program, {"--only", "names no kind of fault: " + kind});
   return chosen;
 }
 
@@ -51,7 +58,7 @@
 
 // With the mechanism whole no seed breaks a rule; with it broken, some seed breaks the rule that it protects.
 // Returns the program's exit code: 0 if that is so. `run` takes a seed and returns a report with
-// `violations`.
+// `violations`. Several mechanisms that protect one rule are named with commas between and broken together.
 template <class Run>
 int show_break([[maybe_unused]] Run run, [[maybe_unused]] seed_range seeds, const std::string& mechanism,
                const std::string& rule) {
@@ -64,7 +71,7 @@
              whole.violations[0].rule.c_str(), whole.violations[0].what.c_str());
       return 1;
     }
-    herontally::breaks().insert(mechanism);
+    for (auto& name : split_names(mechanism)) herontally::breaks().insert(name);
     auto report = run(seed);
     for (auto& each : report.violations) {
       if (each.rule != rule) continue;
--- a/src/simulator/site.cc
+++ b/src/simulator/site.cc
@@ -76,6 +76,21 @@
   });
 }
 
+std::vector<std::string> site::state::machines_of(const std::string& role) const {
+  std::vector<std::string> names;
+  for (auto& [name, spot] : places)
+    if (spot.role == role && !removed.contains(name)) names.push_back(name);
+  return names;
+}
+
+control_oracle site::state::make_control_oracle() {
+  watched_site watched;
+  watched.cores = [this] { return machines_of("control_node"); };
+  watched.stores = [this] { return machines_of("storage_node"); };
+  watched.report = [this](const std::string& rule, const std::string& what) { judge.fail(rule, what); };
+  return control_oracle(where, std::move(watched));
+}
+
 template <class Node>
 std::shared_ptr<Node> site::state::start(const place& spot) {
   ht::settings::settings given;
@@ -158,6 +173,8 @@
   if (spot.role == "platform") machine.node = self.start_platform(spot);
 }
 
+void site::take_away(const std::string& name) { state_->removed.insert(name); }
+
 void site::boot_all() {
   for (auto& [name, spot] : state_->places) boot(name);
 }
@@ -229,7 +246,9 @@
     *done = true;
   }(this, &self.next_marker, &applied));
   if (!self.where.run_until([&] { return applied; }, 30 * rt::second)) return false;
-  return self.where.run_until([&] { return proxies_ready(); }, 20 * rt::second);
+  bool ready = self.where.run_until([&] { return proxies_ready(); }, 20 * rt::second);
+  self.control.start();
+  return ready;
 }
 
 }  // namespace simulator
--- a/src/simulator/site.h
+++ b/src/simulator/site.h
@@ -44,6 +44,8 @@
   bool begin();
   void boot(const std::string& name);
   void boot_all();
+  // The machine never comes back, and nobody waits for it.
+  void take_away(const std::string& name);
   void restart_later(const std::string& name);
   // A machine at new addresses; it is booted too.
   void add(const std::string& role, const std::string& name, const std::string& zone);
--- a/src/simulator/site_state.h
+++ b/src/simulator/site_state.h
@@ -4,6 +4,7 @@
 #include "control_node/node.h"
 #include "platform_stand_in/node.h"
 #include "proxy/node.h"
+#include "simulator/control_oracle.h"
 #include "simulator/site.h"
 #include "storage_node/node.h"
 
@@ -33,8 +34,13 @@
   std::set<std::string> evacuated;
   std::map<std::string, int> versions;
   std::map<std::string, std::function<void(const std::string&)>> traps;
+  std::set<std::string> removed;  // machines that were taken away for good
+  control_oracle control;
+
   state(world& world_of, oracle& oracle_of, site_options given)
-      : where(world_of), judge(oracle_of), choice(given) {}
+      : where(world_of), judge(oracle_of), choice(given), control(make_control_oracle()) {}
+  control_oracle make_control_oracle();
+  std::vector<std::string> machines_of(const std::string& role) const;
 
   place& make(const std::string& role, const std::string& name, const std::string& zone);
   void show_engines();
--- a/src/simulator/world.cc
+++ b/src/simulator/world.cc
@@ -171,6 +171,9 @@
 }
 
 void world::cut(const std::string& from, const std::string& to) { state_->cuts.insert({from, to}); }
+bool world::is_cut(const std::string& from, const std::string& to) const {
+  return state_->cuts.contains({from, to});
+}
 void world::heal(const std::string& from, const std::string& to) {
   state_->cuts.erase({from, to});
   auto& floor = state_->floors[{from, to}];
--- a/src/simulator/world.h
+++ b/src/simulator/world.h
@@ -76,6 +76,8 @@
   void cut(const std::string& from, const std::string& to);
   void heal(const std::string& from, const std::string& to);
   void heal_all();
+  // Whether messages from one machine to the other are held up now.
+  bool is_cut(const std::string& from, const std::string& to) const;
   // A client's machine that reads nothing until it is let go on.
   void stall(const std::string& name, bool on);
 
--- a/src/singleton/singleton_role.cc
+++ b/src/singleton/singleton_role.cc
@@ -1,20 +1,16 @@
 #include "singleton/singleton_role.h"
 
+#include "runtime/breaks.h"
+
 namespace herontally::singleton {
 
 using runtime::microseconds;
-using runtime::millisecond;
 using runtime::second;
 using runtime::task;
 
 namespace {
 
-constexpr microseconds review_period = 200 * millisecond;
 constexpr microseconds claim_timeout = 2 * second;
-// How long an owner goes by its last look at the register. Whoever claimed the role in between is noticed
-// within this time, also if nobody refuses the owner's epoch.
-constexpr microseconds confirmation_period = second;
-constexpr microseconds confirmation_timeout = second;
 
 // What the role's register holds.
 struct ownership {
@@ -50,6 +46,7 @@
   std::string name;
   rpc::node_role candidates;
   bool owned = false;
+  bool refused = false;  // under this epoch
   std::int64_t epoch = 0;
   std::string claimed_as;      // the owner's name in the register, by our last claim
   microseconds confirmed = 0;  // when the register named us last
@@ -64,6 +61,7 @@
   bool is_confirmation_due() const;
   task<> confirm();
   void give_up(const std::string& why);
+  void refuse(const std::string& why);
   void report() const;
   task<> review_forever();
 };
@@ -82,12 +80,14 @@
   self->claimed_as = owner;
   self->confirmed = runtime.now();
   self->owned = true;
+  self->refused = false;
   self->report();
   self->catalog.endpoint().logger().info("singleton role claimed",
                                          {{"role", self->name}, {"epoch", self->epoch}});
 }
 
 bool singleton_role::state::is_confirmation_due() const {
+  if (broken("confirmation")) return false;
   return owned && catalog.endpoint().runtime().now() - confirmed >= confirmation_period;
 }
 
@@ -121,6 +121,11 @@
                                    {{"role", name}, {"epoch", epoch}, {"why", why}});
 }
 
+void singleton_role::state::refuse(const std::string& why) {
+  refused = true;
+  if (!broken("step_down")) give_up(why);
+}
+
 task<> singleton_role::state::review_forever() {
   auto self = shared_from_this();
   auto runtime = self->catalog.endpoint().runtime();
@@ -139,9 +144,13 @@
 void singleton_role::start() { state_->catalog.endpoint().runtime().spawn(state_->review_forever()); }
 bool singleton_role::is_owner() const { return state_->owned; }
 std::int64_t singleton_role::epoch() const { return state_->epoch; }
+role_status singleton_role::status() const {
+  return {state_->name, state_->owned, state_->epoch, state_->refused};
+}
 void singleton_role::step_down(std::int64_t seen_epoch) {
-  if (seen_epoch > state_->epoch) state_->give_up("superseded by epoch " + std::to_string(seen_epoch));
+  if (seen_epoch > state_->epoch) state_->refuse("superseded by epoch " + std::to_string(seen_epoch));
 }
+void singleton_role::step_down() { state_->refuse("superseded"); }
 
 bool epoch_fence::admit(const std::string& role, std::int64_t epoch) {
   auto& highest = highest_[role];
--- a/src/singleton/singleton_role.h
+++ b/src/singleton/singleton_role.h
@@ -13,6 +13,21 @@
 
 namespace herontally::singleton {
 
+// How often a node looks whether it is the first in order.
+constexpr runtime::microseconds review_period = 200 * runtime::millisecond;
+// How long an owner goes by its last look at the register. Whoever claimed the role in between is noticed
+// within this time, also if nobody refuses the owner's epoch.
+constexpr runtime::microseconds confirmation_period = runtime::second;
+constexpr runtime::microseconds confirmation_timeout = runtime::second;
+
+// What one node believes of a role.
+struct role_status {
+  std::string role;
+  bool owned = false;
+  std::int64_t epoch = 0;  // under which it owns the role, or owned it last; 0: never
+  bool refused = false;    // a receiver has refused this epoch
+};
+
 // Copies share one state.
 class singleton_role {
  public:
@@ -25,9 +40,12 @@
   bool is_owner() const;
   // Under which this node owns the role, or owned it last; 0: never.
   std::int64_t epoch() const;
+  role_status status() const;
   // A receiver refused our epoch as too low: somebody owned the role after us, so that it must be claimed
   // anew.
   void step_down(std::int64_t seen_epoch);
+  // The same, where the refusal doesn't say which epoch it was made for.
+  void step_down();
 
  private:
   struct state;
--- a/src/storage_node/node.cc
+++ b/src/storage_node/node.cc
@@ -82,6 +82,8 @@
   co_return std::nullopt;
 }
 
+const replication::voter& node::voter() const { return state_->voter; }
+
 task<> node::leave() {
   auto self = state_;
   self->leaving = true;
--- a/src/storage_node/node.h
+++ b/src/storage_node/node.h
@@ -1,6 +1,7 @@
 // A storage machine's process: voter of the program ledger, owner of conversation chains and call records.
 #pragma once
 #include "logging/logging.h"
+#include "replication/voter.h"
 #include "runtime/runtime.h"
 #include "settings/settings.h"
 
@@ -13,6 +14,9 @@
   runtime::task<std::optional<std::string>> start();
   runtime::task<> leave();
 
+  // For simulations, which look at a node from inside.
+  const replication::voter& voter() const;
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/tests/platform_simulator/main.cc
+++ b/tests/platform_simulator/main.cc
@@ -14,6 +14,7 @@
 ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
 ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
 ABSL_FLAG(std::int64_t, losses, 1, "machines that keep data to be lost at once: 1 or 2");
+ABSL_FLAG(std::int64_t, pause_ms, 80, "longest pause between two beginnings of clients, in milliseconds");
 ABSL_FLAG(bool, verbose, false, "print each run's faults and counts");
 ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
 ABSL_FLAG(std::string, expect, "", "with --broken: the rule whose violation must be noticed");
@@ -24,7 +25,8 @@
     "platform_simulator: runs the product on the users' platform in virtual time, from seeds, with faults, "
     "by their "
     "rules\n\n"
-    "Usage: platform_simulator --seeds A..B [--only KIND,...] [--faults N] [--losses N] [--verbose] "
+    "Usage: platform_simulator --seeds A..B [--only KIND,...] [--faults N] [--losses N] [--pause_ms N] "
+    "[--verbose] "
     "[--broken NAME "
     "--expect RULE]\n\n"
     "Example:\n  platform_simulator --seeds 1..40 --only edge_roll,change\n";
@@ -35,6 +37,9 @@
   choice.losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
   if (choice.losses < 1 || choice.losses > 2)
     settings::end_with("platform_simulator", {"--losses", "must be 1 or 2"});
+  auto pause = absl::GetFlag(FLAGS_pause_ms);
+  if (pause < 1) settings::end_with("platform_simulator", {"--pause_ms", "must be 1 or more"});
+  choice.pause = pause * runtime::millisecond;
   auto kinds = platform_simulator::fault_kinds();
   auto& named = platform_simulator::named_fault_kinds();
   kinds.insert(kinds.end(), named.begin(), named.end());
@@ -49,10 +54,10 @@
   auto only = absl::GetFlag(FLAGS_only);
   printf(
       "seed %llu breaks rules %zu times; replay: platform_simulator --seeds %llu..%llu --faults %d "
-      "--losses %d%s%s "
-      "--verbose\n",
+      "--losses %d --pause_ms %lld%s%s --verbose\n",
       seed, report.violations.size(), seed, seed, choice.faults, choice.losses,
-      only.empty() ? "" : " --only ", only.c_str());
+      static_cast<long long>(choice.pause / runtime::millisecond), only.empty() ? "" : " --only ",
+      only.c_str());
   simulator::print_first(report.violations, most_shown);
 }
 
--- a/tests/platform_site.cc
+++ b/tests/platform_site.cc
@@ -17,7 +17,7 @@
 static std::string agent_of(const std::string& edge) { return edge + ":agent"; }
 
 site::site(simulator::world& where, oracle& judge, int losses)
-    : where_(where), judge_(judge), losses_(losses) {
+    : where_(where), judge_(judge), losses_(losses), control_(make_control_oracle()) {
   for (auto* name : {"clients", "operator", "platform"}) {
     where_.machine(name, "");
     where_.boot(name);
@@ -27,6 +27,17 @@
   });
 }
 
+simulator::control_oracle site::make_control_oracle() {
+  simulator::watched_site watched;
+  watched.cores = [this] { return of_role("core"); };
+  watched.stores = [this] { return of_role("store"); };
+  watched.report = [this](const std::string& rule, const std::string& what) {
+    judge_.violations.push_back({rule, what, where_.now()});
+  };
+  watched.budget = {losses_, 1};
+  return simulator::control_oracle(where_, std::move(watched));
+}
+
 std::string site::add(const std::string& role, const std::string& zone) {
   int number = ++hosts_[role];
   std::string name = role + "-" + std::to_string(number);
@@ -237,13 +248,15 @@
     while (self->current == 0) co_await self->change(first, false);
   }(this, first));
   founded_ = true;
-  return where_.run_until(
+  bool ready = where_.run_until(
       [this] {
         auto edges = of_role("edge");
         return current > 0 &&
                std::all_of(edges.begin(), edges.end(), [this](auto& name) { return missed_[name] == 0; });
       },
       60 * second);
+  control_.start();
+  return ready;
 }
 
 }  // namespace herontally::platform_simulator
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -5,6 +5,7 @@
 
 #include "platform_site_oracle.h"
 #include "runtime/runtime.h"
+#include "simulator/control_oracle.h"
 #include "simulator/world.h"
 
 namespace herontally::platform_simulator {
@@ -33,6 +34,9 @@
   microseconds used = 0;
 };
 
+// The longest pause between two beginnings of clients.
+constexpr microseconds usual_pause = 80 * millisecond;
+
 class site {
  public:
   // `losses`: how many machines that keep data may be lost at once; it decides how many there are.
@@ -76,8 +80,8 @@
   task<> retire(std::string store);
   std::int64_t current = 0;  // the newest that was acknowledged
 
-  // Clients: plain requests and programs begin until `until`.
-  void offer(microseconds until);
+  // Clients: plain requests and programs begin until `until`, one after a pause of `most_pause` at most.
+  void offer(microseconds until, microseconds most_pause = usual_pause);
   simulator::world& where() { return where_; }
   oracle& judge() { return judge_; }
   int losses() const { return losses_; }
@@ -104,10 +108,14 @@
   task<> plain(std::string kind, std::string target);
   task<> run_program();
   task<> run_line(std::shared_ptr<program> whole, std::string previous, int turns);
-  task<> offer_until(microseconds until);
+  task<> offer_until(microseconds until, microseconds most_pause);
+
+  simulator::control_oracle make_control_oracle();
 
   simulator::world& where_;
   oracle& judge_;
+  int losses_ = 1;
+  simulator::control_oracle control_;
   std::map<std::string, machine_place> places_;
   std::map<std::string, std::shared_ptr<engine_life>> lives_;  // by machine
   std::vector<json> shown_;                                    // the platform's list, as it answers now
@@ -115,7 +123,6 @@
   std::vector<std::string> bootstrap_;
   std::deque<microseconds> listings_;
   bool founded_ = false;
-  int losses_ = 1;
   std::array<connection, 24> connections_;
   int names_ = 0, attempts_ = 0, generation_ = 0, marker_ = 0;
   std::map<std::string, int> hosts_;
--- a/tests/platform_site_clients.cc
+++ b/tests/platform_site_clients.cc
@@ -170,7 +170,7 @@
   co_await run_line(whole, from, 4);
 }
 
-task<> site::offer_until(microseconds until) {
+task<> site::offer_until(microseconds until, microseconds most_pause) {
   auto runtime = where_.runtime_of("clients");
   while (where_.now() < until) {
     auto kind = where_.draw(16);
@@ -183,10 +183,13 @@
     // Bursts come now and then.
     bool burst = where_.draw(400) == 0;
     for (int more = 0; burst && more < 60; ++more) runtime.spawn(plain("mutating", "/write/"));
-    co_await runtime.sleep(static_cast<microseconds>(where_.draw(80)) * millisecond);
+    auto pause = where_.draw(static_cast<std::uint64_t>(most_pause / millisecond));
+    co_await runtime.sleep(static_cast<microseconds>(pause) * millisecond);
   }
 }
 
-void site::offer(microseconds until) { where_.runtime_of("clients").spawn(offer_until(until)); }
+void site::offer(microseconds until, microseconds most_pause) {
+  where_.runtime_of("clients").spawn(offer_until(until, most_pause));
+}
 
 }  // namespace herontally::platform_simulator
--- a/tests/platform_site_faults.h
+++ b/tests/platform_site_faults.h
@@ -8,7 +8,8 @@
   std::uint64_t seed = 1;
   std::vector<std::string> only;
   int faults = 8;
-  int losses = 1;  // machines that keep data lost at once
+  int losses = 1;                    // machines that keep data lost at once
+  microseconds pause = usual_pause;  // the longest between two beginnings of clients
 };
 struct run_report {
   std::vector<violation> violations;
--- a/tests/platform_site_scenario.cc
+++ b/tests/platform_site_scenario.cc
@@ -46,7 +46,7 @@
     (is_closing(kind) ? closing : kinds).push_back(kind);
   bool closes = !closing.empty() && (!choice.only.empty() || world.draw(2));
   auto end = world.now() + 300 * second;
-  place.offer(end);
+  place.offer(end, choice.pause);
   world.run_for(4 * second);
   microseconds free = world.now();
   for (int number = 0; number < choice.faults && !kinds.empty(); ++number) {
