--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -1,5 +1,7 @@
 // Internal to the proxy: what its parts share. The node owns it; parts keep it alive while their tasks run.
 #pragma once
+#include <limits>
+
 #include "config_distribution/change_trace.h"
 #include "config_distribution/config_store.h"
 #include "config_distribution/freshness.h"
@@ -83,6 +85,8 @@
 
   std::int64_t incarnation = 0;
   bool leaving = false;
+  // When this process ends: whoever still waits for an engine is answered before.
+  microseconds ends_at = std::numeric_limits<microseconds>::max();
   std::int64_t requests_in_flight = 0;
   std::map<std::string, std::int64_t> requests_by_client;
   double turn_seconds = 0.5;  // moving average of a turn's time at its engine
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -48,6 +48,8 @@
             })) {}
 
   void watch_engines();
+  // The last line of a process that was told to end: how many requests it has read and not answered.
+  void log_end(std::int64_t unanswered) const;
   void set_seeds();
   // False: the request was answered.
   bool admit(const target& wanted, const http_api::writer& out);
@@ -71,6 +73,10 @@
   });
 }
 
+void node::state::log_end(std::int64_t unanswered) const {
+  shared->logger.info("ended on notice", {{"unanswered", unanswered}});
+}
+
 void node::state::watch_engines() {
   std::weak_ptr<context> weak = shared;
   shared->engines.on_reset([weak](const engine::engine_state& row) {
@@ -108,18 +114,23 @@
 
 task<> node::leave() {
   constexpr std::int64_t reserve_milliseconds = 200;
-  constexpr microseconds poll_period = 50 * millisecond;
+  constexpr microseconds answer_time = 300 * millisecond;
   auto self = state_;
   auto shared = self->shared;
   shared->leaving = true;
   if (self->ingress) {
     co_await self->ingress->drain();
+    self->log_end(self->ingress->in_flight());
     co_return;
   }
   auto until =
       shared->runtime.now() + (shared->place.notice_milliseconds - reserve_milliseconds) * millisecond;
-  while (shared->requests_in_flight > 0 && shared->runtime.now() < until)
-    co_await shared->runtime.sleep(poll_period);
+  // Who waits already waits no longer than that.
+  shared->ends_at = until - answer_time;
+  shared->capacity.notify_all();
+  std::vector<std::string> addresses{shared->place.http};
+  co_await runtime::drain_connections(shared->runtime, std::move(addresses), until);
+  self->log_end(shared->requests_in_flight);
 }
 
 bool node::state::admit(const target& wanted, const http_api::writer& out) {
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -74,15 +74,19 @@
   constexpr microseconds closing_time = 2 * second;
   auto self = shared_from_this();
   auto& runtime = self->context_->runtime;
-  auto notice = self->context_->place.notice_milliseconds;
+  auto& place = self->context_->place;
+  auto notice = place.notice_milliseconds;
   self->router_.drain();
+  runtime.http_drain(place.ingress);
   auto last = runtime.now() + (notice - reserve_milliseconds) * millisecond;
   co_await runtime.sleep(std::min<std::int64_t>(max_arrival_milliseconds, notice / 2) * millisecond);
   auto calm_since = runtime.now();
   while (runtime.now() < last && runtime.now() - calm_since < calm_time) {
     co_await runtime.sleep(poll_period);
     if (runtime.now() > last - closing_time) self->router_.close();
-    if (self->router_.in_flight() > 0) calm_since = runtime.now();
+    // A client that keeps an idle connection may send its next request at any moment.
+    bool busy = self->router_.in_flight() > 0 || runtime.http_connections(place.ingress) > 0;
+    if (busy) calm_since = runtime.now();
   }
 }
 
--- a/src/proxy/turn_handler.cc
+++ b/src/proxy/turn_handler.cc
@@ -302,9 +302,9 @@
 }
 
 task<bool> turn_handler::wait_for_capacity(reserved_pointer turn) {
-  auto until = turn->begun + seconds_of(context_->config->limit.queue_seconds);
-  turn->failure = "no engine came free in time";
-  return context_->capacity.wait(std::min(turn->deadline, until));
+  auto until = std::min(turn->deadline, turn->begun + seconds_of(context_->config->limit.queue_seconds));
+  turn->failure = until < context_->ends_at ? "no engine came free in time" : "this proxy is ending";
+  return context_->capacity.wait(std::min(until, context_->ends_at));
 }
 
 void turn_handler::log_placement(const reserved_turn& turn, const turn_plan& plan) const {
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -127,7 +127,6 @@
   one->arrived = self->runtime.now();
   one->request = std::move(request);
   one->out = out;
-  if (self->draining) out->last_on_connection();
   one->metadata = self->adapter->read_request(one->request.headers);
   // Taken now, it would be cut off with an engine at work on it.
   if (self->closed) {
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -106,6 +106,11 @@
   std::function<bool(std::string, http_handler)> http_serve;
   // New connections are refused; those that are open live on.
   std::function<void(std::string)> http_stop_listening;
+  // From now on each answer at this address whose head has not gone out is the last one on its connection,
+  // and says so.
+  std::function<void(std::string)> http_drain;
+  // The open connections on which a request has come in at this address.
+  std::function<std::size_t(std::string)> http_connections;
   std::function<std::uint64_t(std::string, http_request, std::function<void(http_event)>)> http_open;
   std::function<void(std::uint64_t)> http_cancel;
   disk_table disk;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -71,9 +71,10 @@
   ev_uint16_t port = 0;
   evhttp_connection_get_peer(evhttp_request_get_connection(request), &peer, &port);
   if (peer) incoming.peer = std::string(peer) + ":" + std::to_string(port);
+  connection_of(server->part, evhttp_request_get_connection(request))->server = server;
   // A copy: the handler may stop this very server.
   auto handler = server->handler;
-  handler(std::move(incoming), make_http_writer(server->part->shared_from_this(), request));
+  handler(std::move(incoming), make_http_writer(*server, request));
 }
 
 std::unique_ptr<bound_server> bind_server(http_server_part* part, const std::string& address,
@@ -125,6 +126,18 @@
     evhttp_del_accept_socket(bound->server, bound->listener);
     here->stopped.push_back(std::move(bound));
   };
+  table.http_drain = [weak](std::string address) {
+    auto here = weak.lock();
+    if (here && here->servers.contains(address)) *here->servers[address]->draining = true;
+  };
+  table.http_connections = [weak](std::string address) -> std::size_t {
+    auto here = weak.lock();
+    if (!here || !here->servers.contains(address)) return 0;
+    auto* server = here->servers[address].get();
+    auto is_at_server = [&](auto& entry) { return entry.second->server == server; };
+    return static_cast<std::size_t>(
+        std::count_if(here->connections.begin(), here->connections.end(), is_at_server));
+  };
 }
 
 }  // namespace herontally::runtime
--- a/src/runtime/http_server_exchange.cc
+++ b/src/runtime/http_server_exchange.cc
@@ -51,11 +51,22 @@
   for (auto& [name, value] : headers) evhttp_add_header(out, name.c_str(), value.c_str());
 }
 
+// To be called before the head goes out.
+void announce_close(const server_exchange& held) {
+  auto* headers = evhttp_request_get_output_headers(held.request);
+  evhttp_remove_header(headers, "Connection");
+  evhttp_add_header(headers, "Connection", "close");
+  auto part = held.part.lock();
+  if (auto* channel = evhttp_request_get_connection(held.request))
+    connection_of(part.get(), channel)->linger = true;
+}
+
 // The functions that answer.
 void bind_answer(http_writer& writer, const std::shared_ptr<server_exchange>& held) {
   writer.reply = [held](http_response response) {
     if (!held->usable()) return;
     held->on_gone = nullptr;
+    if (*held->draining) announce_close(*held);
     auto* request = std::exchange(held->request, nullptr);
     add_headers(request, response.headers);
     evbuffer* body = evbuffer_new();
@@ -65,6 +76,7 @@
   };
   writer.start = [held](int status, std::map<std::string, std::string> headers) {
     if (!held->usable()) return;
+    if (*held->draining) announce_close(*held);
     add_headers(held->request, headers);
     evhttp_send_reply_start(held->request, status, reason_of(status));
   };
@@ -105,13 +117,7 @@
       evhttp_request_free(request);
   };
   writer.last_on_connection = [held] {
-    if (!held->usable()) return;
-    auto* headers = evhttp_request_get_output_headers(held->request);
-    evhttp_remove_header(headers, "Connection");
-    evhttp_add_header(headers, "Connection", "close");
-    auto part = held->part.lock();
-    if (auto* channel = evhttp_request_get_connection(held->request))
-      connection_of(part.get(), channel)->linger = true;
+    if (held->usable()) announce_close(*held);
   };
   writer.on_gone = [held](std::function<void()> work) {
     held->on_gone = std::move(work);
@@ -125,11 +131,11 @@
   if (usable()) evhttp_send_error(request, 500, nullptr);
 }
 
-std::shared_ptr<http_writer> make_http_writer(const std::shared_ptr<http_server_part>& part,
-                                              evhttp_request* request) {
+std::shared_ptr<http_writer> make_http_writer(const bound_server& server, evhttp_request* request) {
   auto held = std::make_shared<server_exchange>();
   held->request = request;
-  held->part = part;
+  held->part = server.part->weak_from_this();
+  held->draining = server.draining;
   auto writer = std::make_shared<http_writer>();
   bind_answer(*writer, held);
   bind_connection(*writer, held);
--- a/src/runtime/http_server_parts.h
+++ b/src/runtime/http_server_parts.h
@@ -13,10 +13,13 @@
 
 namespace herontally::runtime {
 
+struct bound_server;
+
 // Owns the request until its answer is complete; evhttp hands it over when the client's connection closes.
 struct server_exchange {
   evhttp_request* request = nullptr;
   std::weak_ptr<http_server_part> part;
+  std::shared_ptr<const bool> draining;  // of its server
   bool gone = false;
   std::function<void()> on_gone;
   ~server_exchange();
@@ -26,6 +29,7 @@
 // What is known about a connection beyond evhttp's own record.
 struct server_connection {
   http_server_part* part = nullptr;
+  const bound_server* server = nullptr;  // nullptr: no request has come in on it
   evhttp_connection* connection = nullptr;
   std::weak_ptr<server_exchange> exchange;  // the one that is being worked on
   // A second descriptor of the same socket, made when somebody asks for the client's end: evhttp doesn't read
@@ -41,6 +45,8 @@
   evhttp_bound_socket* listener = nullptr;
   http_server_part* part = nullptr;
   http_handler handler;
+  // Shared with the exchanges: whether their answers are the last ones on their connections.
+  std::shared_ptr<bool> draining = std::make_shared<bool>(false);
 };
 
 struct http_server_part : std::enable_shared_from_this<http_server_part> {
@@ -51,8 +57,7 @@
   ~http_server_part();
 };
 
-std::shared_ptr<http_writer> make_http_writer(const std::shared_ptr<http_server_part>& part,
-                                              evhttp_request* request);
+std::shared_ptr<http_writer> make_http_writer(const bound_server& server, evhttp_request* request);
 // The exchange's on_gone is called once, when its client has gone.
 void watch_client(const std::shared_ptr<server_exchange>& exchange);
 server_connection* connection_of(http_server_part* part, evhttp_connection* connection);
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -1,5 +1,6 @@
 #include "runtime/runtime.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace herontally::runtime {
@@ -78,6 +79,10 @@
 bool handle::serve(std::string address, message_handler handler) const {
   return state_->table.serve(std::move(address), std::move(handler));
 }
+void handle::http_drain(std::string address) const { state_->table.http_drain(std::move(address)); }
+std::size_t handle::http_connections(std::string address) const {
+  return state_->table.http_connections(std::move(address));
+}
 bool handle::http_serve(std::string address, http_handler handler) const {
   return state_->table.http_serve(std::move(address), std::move(handler));
 }
@@ -126,6 +131,14 @@
   events_.push(failure);
 }
 
+task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until) {
+  constexpr microseconds poll_period = 20 * millisecond;
+  for (auto& address : addresses) runtime.http_drain(address);
+  auto is_open = [&](auto& address) { return runtime.http_connections(address) > 0; };
+  while (runtime.now() < until && std::any_of(addresses.begin(), addresses.end(), is_open))
+    co_await runtime.sleep(poll_period);
+}
+
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
                               microseconds timeout) {
   microseconds deadline = runtime.now() + timeout;
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -23,6 +23,8 @@
   task<call_outcome> call(std::string address, std::string bytes, microseconds timeout) const;
   bool serve(std::string address, message_handler handler) const;
   bool http_serve(std::string address, http_handler handler) const;
+  void http_drain(std::string address) const;
+  std::size_t http_connections(std::string address) const;
   const backend& table() const;
   task<std::optional<disk_error>> sync(std::string file) const;
   // Run by `stop`, so that what refers to itself in a ring is let go.
@@ -126,6 +128,10 @@
   std::shared_ptr<std::uint64_t> number_;
 };
 
+// Graceful shutdown of servers: their clients are told with the next answer to close, and this returns once
+// all have, or at the time `until`.
+task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until);
+
 using http_outcome = std::variant<http_response, http_failure>;
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
                               microseconds timeout);
--- a/src/simulator/world.cc
+++ b/src/simulator/world.cc
@@ -158,6 +158,7 @@
   place.runtime.reset();
   place.inner.clear();
   place.http.clear();
+  place.draining_http.clear();
   state_->lose(place, loss);
   std::erase_if(state_->by_address, [&](auto& entry) { return entry.second == name; });
 }
--- a/src/simulator/world_http.cc
+++ b/src/simulator/world_http.cc
@@ -135,11 +135,32 @@
   };
 }
 
+static void bind_http_drain(const std::weak_ptr<world::state>& weak, const std::string& name,
+                            rt::backend& table) {
+  table.http_drain = [weak, name](std::string address) {
+    if (auto here = weak.lock()) here->machines.at(name)->draining_http.insert(address);
+  };
+  // Each exchange has a connection of its own, which ends with it.
+  table.http_connections = [weak, name](std::string address) -> std::size_t {
+    auto here = weak.lock();
+    if (!here) return 0;
+    auto life = here->machines.at(name)->life;
+    std::size_t open = 0;
+    for (auto& [number, exchange] : here->exchanges) {
+      bool at_server =
+          exchange->server == name && exchange->server_life == life && exchange->address == address;
+      open += at_server && exchange->arrived && !exchange->replied ? 1 : 0;
+    }
+    return open;
+  };
+}
+
 void world::state::bind_http(struct machine* self, rt::backend& table) {
   std::weak_ptr<state> weak = shared_from_this();
   std::string name = self->name;
   std::uint64_t life = self->life;
   bind_http_server(weak, name, table);
+  bind_http_drain(weak, name, table);
   table.http_open = [weak, name, life](std::string address, rt::http_request request,
                                        std::function<void(rt::http_event)> notify) -> std::uint64_t {
     auto here = weak.lock();
--- a/src/simulator/world_http_writer.cc
+++ b/src/simulator/world_http_writer.cc
@@ -38,11 +38,16 @@
                exchange->last_arrival);
 }
 
+static bool is_last_on_connection(const std::weak_ptr<world::state>& weak, const http_exchange& exchange) {
+  auto here = weak.lock();
+  return exchange.last ||
+         (here && here->machines.at(exchange.server)->draining_http.contains(exchange.address));
+}
+
 // Whoever receives a head finds its names in lower case, as over a real connection.
-static rt::http_head head_of(const http_exchange& exchange, int status,
-                             const std::map<std::string, std::string>& headers) {
+static rt::http_head head_of(int status, const std::map<std::string, std::string>& headers, bool last) {
   rt::http_head head{status, {}};
-  if (exchange.last) head.headers["connection"] = "close";
+  if (last) head.headers["connection"] = "close";
   for (auto& [name, value] : headers) {
     std::string lower = name;
     for (auto& letter : lower) letter = static_cast<char>(std::tolower(letter));
@@ -58,15 +63,15 @@
     auto here = weak.lock();
     if (here) to_client(here, exchange, std::move(event), bytes);
   };
-  writer->reply = [send, exchange](rt::http_response response) {
+  writer->reply = [send, weak, exchange](rt::http_response response) {
     if (std::exchange(exchange->replied, true)) return;
     exchange->on_gone = nullptr;
-    send(head_of(*exchange, response.status, response.headers), 100);
+    send(head_of(response.status, response.headers, is_last_on_connection(weak, *exchange)), 100);
     if (!response.body.empty()) send(rt::http_piece{response.body}, response.body.size());
     send(rt::http_end{}, 0);
   };
-  writer->start = [send, exchange](int status, std::map<std::string, std::string> headers) {
-    send(head_of(*exchange, status, headers), 100);
+  writer->start = [send, weak, exchange](int status, std::map<std::string, std::string> headers) {
+    send(head_of(status, headers, is_last_on_connection(weak, *exchange)), 100);
   };
   writer->piece = [send](std::string bytes) {
     auto size = bytes.size();
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -81,6 +81,42 @@
   site.here.settle();
 }
 
+TEST_CASE("a draining server tells each client with its next answer to close, and counts those that haven't",
+          "[http_server]") {
+  served site;
+  auto& kept = site.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  site.writers[0]->reply(rt::http_response{200, {}, "x"});
+  REQUIRE(site.here.until([&] { return has(kept, "\r\n\r\nx"); }));
+  CHECK(!has(kept, "Connection: close"));
+  auto& waiting = site.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto& streaming = site.send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  site.writers[2]->start(200, {});
+  CHECK(site.here.table.http_connections(site.at) == 3);
+  site.here.table.http_drain(site.at);
+  // Asked before the notice, answered after it.
+  site.writers[1]->reply(rt::http_response{200, {}, "y"});
+  REQUIRE(site.here.until([&] { return waiting.ended; }));
+  CHECK(has(waiting, "Connection: close\r\n"));
+  // Its head went out before the notice: it is told with its next answer.
+  site.writers[2]->piece("z");
+  site.writers[2]->finish();
+  REQUIRE(site.here.until([&] { return has(streaming, "0\r\n\r\n"); }));
+  CHECK(!streaming.ended);
+  CHECK(site.here.table.http_connections(site.at) == 2);
+  // A request on a connection that was idle at the notice is answered.
+  for (auto* end : {&kept, &streaming}) {
+    auto before = site.requests.size();
+    end->send("GET /4 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(site.here.until([&] { return site.requests.size() > before; }));
+    site.writers.back()->reply(rt::http_response{200, {}, "last"});
+    REQUIRE(site.here.until([&] { return end->ended; }));
+    CHECK(has(*end, "Connection: close\r\n"));
+    CHECK(has(*end, "last"));
+    CHECK(!end->reset);
+  }
+  CHECK(site.here.table.http_connections(site.at) == 0);
+}
+
 TEST_CASE("a client that closes or resets while its request is worked on is noticed once", "[http_server]") {
   for (bool reset : {false, true}) {
     served site;
--- a/tests/platform_simulator/main.cc
+++ b/tests/platform_simulator/main.cc
@@ -14,6 +14,8 @@
 ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
 ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
 ABSL_FLAG(std::int64_t, losses, 1, "machines that keep data to be lost at once: 1 or 2");
+ABSL_FLAG(std::string, shape, "", "small, many_stores, large or four_zones; empty: the fewest machines");
+ABSL_FLAG(double, long_day, 0, "virtual seconds of a long day; 0: one fault after another");
 ABSL_FLAG(std::int64_t, pause_ms, 80, "longest pause between two beginnings of clients, in milliseconds");
 ABSL_FLAG(bool, verbose, false, "print each run's faults and counts");
 ABSL_FLAG(std::string, broken, "", "a protecting mechanism to break (only in the build made for it)");
@@ -25,18 +27,31 @@
     "platform_simulator: runs the product on the users' platform in virtual time, from seeds, with faults, "
     "by their "
     "rules\n\n"
-    "Usage: platform_simulator --seeds A..B [--only KIND,...] [--faults N] [--losses N] [--pause_ms N] "
+    "Usage: platform_simulator --seeds A..B [--only KIND,...] [--faults N] [--losses N] [--shape NAME] "
+    "[--long_day SECONDS] [--pause_ms N] "
     "[--verbose] "
     "[--broken NAME "
     "--expect RULE]\n\n"
     "Example:\n  platform_simulator --seeds 1..40 --only edge_roll,change\n";
 
+// The sizes of the users' deployments among cores and stores; few edges, since they are many alike.
+static platform_simulator::site_shape shape_of_flags() {
+  auto losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
+  if (losses < 1 || losses > 2) settings::end_with("platform_simulator", {"--losses", "must be 1 or 2"});
+  auto name = absl::GetFlag(FLAGS_shape);
+  if (name.empty()) return platform_simulator::smallest_shape(losses);
+  if (name == "small") return {.cores = 5, .stores = 3, .edges = 6, .zones = 3, .losses = 1};
+  if (name == "many_stores") return {.cores = 5, .stores = 10, .edges = 8, .zones = 3, .losses = 2};
+  if (name == "large") return {.cores = 9, .stores = 8, .edges = 8, .zones = 3, .losses = 2};
+  if (name == "four_zones") return {.cores = 9, .stores = 10, .edges = 8, .zones = 4, .losses = 2};
+  settings::end_with("platform_simulator", {"--shape", "must be small, many_stores, large or four_zones"});
+}
+
 static platform_simulator::run_options options_of_flags() {
   platform_simulator::run_options choice;
   choice.faults = static_cast<int>(absl::GetFlag(FLAGS_faults));
-  choice.losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
-  if (choice.losses < 1 || choice.losses > 2)
-    settings::end_with("platform_simulator", {"--losses", "must be 1 or 2"});
+  choice.shape = shape_of_flags();
+  choice.long_day = static_cast<runtime::microseconds>(absl::GetFlag(FLAGS_long_day) * runtime::second);
   auto pause = absl::GetFlag(FLAGS_pause_ms);
   if (pause < 1) settings::end_with("platform_simulator", {"--pause_ms", "must be 1 or more"});
   choice.pause = pause * runtime::millisecond;
@@ -51,11 +66,12 @@
                              const platform_simulator::run_report& report) {
   constexpr std::size_t most_shown = 6;
   auto seed = static_cast<unsigned long long>(choice.seed);
-  auto only = absl::GetFlag(FLAGS_only);
+  auto only = absl::GetFlag(FLAGS_only), shape = absl::GetFlag(FLAGS_shape);
   printf(
       "seed %llu breaks rules %zu times; replay: platform_simulator --seeds %llu..%llu --faults %d "
-      "--losses %d --pause_ms %lld%s%s --verbose\n",
-      seed, report.violations.size(), seed, seed, choice.faults, choice.losses,
+      "--losses %d%s%s --long_day %g --pause_ms %lld%s%s --verbose\n",
+      seed, report.violations.size(), seed, seed, choice.faults, choice.shape.losses,
+      shape.empty() ? "" : " --shape ", shape.c_str(), absl::GetFlag(FLAGS_long_day),
       static_cast<long long>(choice.pause / runtime::millisecond), only.empty() ? "" : " --only ",
       only.c_str());
   simulator::print_first(report.violations, most_shown);
--- a/tests/platform_site.cc
+++ b/tests/platform_site.cc
@@ -11,13 +11,21 @@
 
 namespace herontally::platform_simulator {
 
-const char* const zones[3] = {"zone-a", "zone-b", "zone-c"};
+const char* const zones[4] = {"zone-a", "zone-b", "zone-c", "zone-d"};
 static const char* const platform_address = "10.200.0.100:8142";
 
 static std::string agent_of(const std::string& edge) { return edge + ":agent"; }
 
-site::site(simulator::world& where, oracle& judge, int losses)
-    : where_(where), judge_(judge), losses_(losses), control_(make_control_oracle()) {
+site_shape smallest_shape(int losses) {
+  site_shape shape;
+  shape.losses = losses;
+  shape.cores = 2 * losses + 1;
+  shape.stores = losses == 1 ? 3 : 4 * losses;
+  return shape;
+}
+
+site::site(simulator::world& where, oracle& judge, site_shape shape)
+    : where_(where), judge_(judge), shape_(shape), control_(make_control_oracle()) {
   for (auto* name : {"clients", "operator", "platform"}) {
     where_.machine(name, "");
     where_.boot(name);
@@ -27,6 +35,19 @@
   });
 }
 
+// What cores and stores log of their roles and groups belongs to the story of a run.
+void site::tell_of_control(const json& line) {
+  static const std::set<std::string> told{"moving a group of voters",
+                                          "group of voters moved",
+                                          "a move of a group of voters was refused",
+                                          "a group of voters can't bear all losses that it should",
+                                          "singleton role claimed",
+                                          "singleton role given up",
+                                          "voter begins empty",
+                                          "started"};
+  if (line["level"] == "error" || told.contains(line["event"])) tell("  " + line.dump());
+}
+
 simulator::control_oracle site::make_control_oracle() {
   simulator::watched_site watched;
   watched.cores = [this] { return of_role("core"); };
@@ -34,7 +55,7 @@
   watched.report = [this](const std::string& rule, const std::string& what) {
     judge_.violations.push_back({rule, what, where_.now()});
   };
-  watched.budget = {losses_, 1};
+  watched.budget = {shape_.losses, 1};
   return simulator::control_oracle(where_, std::move(watched));
 }
 
@@ -45,10 +66,11 @@
   places_[name] = {name, role, zone, std::string("10.0.") + part + "." + std::to_string(number)};
   where_.machine(name, zone);
   if (role == "edge") where_.machine(agent_of(name), zone);
-  if (role == "core" && bootstrap_.size() < 3) bootstrap_.push_back(control(name));
   return name;
 }
 
+std::string site::draw_zone() { return zones[where_.draw(static_cast<std::uint64_t>(shape_.zones))]; }
+
 std::vector<std::string> site::of_role(const std::string& role) const {
   std::vector<std::string> names;
   for (auto& [name, each] : places_)
@@ -57,8 +79,13 @@
 }
 
 std::string site::settings_of(const machine_place& place, const std::string& role) const {
+  // The platform keeps the list of seeds: a machine that was taken away doesn't stand in it at the next
+  // start.
+  constexpr std::size_t most_seeds = 3;
+  auto cores = of_role("core");
+  cores.resize(std::min(cores.size(), most_seeds));
   std::string list;
-  for (auto& each : bootstrap_) list += (list.empty() ? "\"" : ",\"") + each + "\"";
+  for (auto& each : cores) list += (list.empty() ? "\"" : ",\"") + control(each) + "\"";
   std::string text = "node = \"" + place.name + "\"\nrole = \"" + role + "\"\nip = \"" + place.ip +
                      "\"\nzone = \"" + place.zone + "\"\nregion = \"r\"\nport_range = [7380,7395]\n" +
                      "bootstrap = [" + list + "]\ngenesis = " + (founded_ ? "false" : "true") +
@@ -66,7 +93,7 @@
   if (place.role == "edge")
     text += "ingress = \"" + ingress(place.name) + "\"\nreadiness = \"" + place.ip + ":8141\"\n";
   if (place.role == "core") text += "control = \"" + control(place.name) + "\"\n";
-  return text + "[fault_budget]\nmachines = " + std::to_string(losses_) + "\nzones = 1\n" +
+  return text + "[fault_budget]\nmachines = " + std::to_string(shape_.losses) + "\nzones = 1\n" +
          "[caps]\ndisk_mb = 320\nmemory_mb = 260\n[bounds]\ngrace_s = 8\ndrain_ms = 3000\n" +
          "[provider]\nendpoint = \"" + platform_address + "\"\nrate_per_s = 40.0\nlag_ms = 800\n";
 }
@@ -77,7 +104,7 @@
   where_.boot(name);
   auto read = platform::read_settings(settings_of(place, role), role);
   auto& settings = std::get<settings::settings>(read);
-  logging::logger logger(settings.name, [](auto&, auto&) {});
+  logging::logger logger(settings.name, [this](auto&, auto& line) { tell_of_control(line); });
   auto node = std::make_shared<Node>(where_.runtime_of(name), settings, logger, more...);
   where_.find(name).node = node;
   where_.runtime_of(name).spawn([](std::shared_ptr<Node> begun, site* self, std::string own) -> task<> {
@@ -230,13 +257,12 @@
 }
 
 bool site::begin() {
-  int cores = 2 * losses_ + 1, stores = losses_ == 1 ? 3 : 4 * losses_;
-  for (int number = 0; number < cores; ++number) add("core", zones[number % 3]);
-  for (int number = 0; number < stores; ++number) add("store", zones[number % 3]);
-  for (int number = 0; number < 5; ++number) add("edge", zones[number % 3]);
-  for (int number = 0; number < 6; ++number) add_engine("models", zones[number % 3], "");
+  for (int number = 0; number < shape_.cores; ++number) add("core", zones[number % shape_.zones]);
+  for (int number = 0; number < shape_.stores; ++number) add("store", zones[number % shape_.zones]);
+  for (int number = 0; number < shape_.edges; ++number) add("edge", zones[number % shape_.zones]);
+  for (int number = 0; number < 6; ++number) add_engine("models", zones[number % shape_.zones], "");
   for (auto* service : {"apps_a", "apps_b"})
-    for (auto* zone : zones) add_engine(service, zone, "");
+    for (int number = 0; number < shape_.zones; ++number) add_engine(service, zones[number], "");
   for (auto& [machine, life] : lives_) life->cold_until = -1;
   for (auto& [name, each] : places_) {
     missed_[name] = 2;
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -37,10 +37,17 @@
 // The longest pause between two beginnings of clients.
 constexpr microseconds usual_pause = 80 * millisecond;
 
+// How many machines of each role there are, over how many zones, and how many of those that keep data may be
+// lost at once.
+struct site_shape {
+  int cores = 3, stores = 3, edges = 5, zones = 3, losses = 1;
+};
+// The fewest machines that bear so many losses.
+site_shape smallest_shape(int losses);
+
 class site {
  public:
-  // `losses`: how many machines that keep data may be lost at once; it decides how many there are.
-  site(simulator::world& where, oracle& judge, int losses = 1);
+  site(simulator::world& where, oracle& judge, site_shape shape);
   // Boots all, sends the first configuration and waits until every edge machine is ready.
   bool begin();
   void boot(const std::string& name);
@@ -79,12 +86,15 @@
   task<> change_zone(std::string zone, bool begin);
   task<> retire(std::string store);
   std::int64_t current = 0;  // the newest that was acknowledged
+  // Reads the configuration at one core after another, any of them, until the time.
+  void read_until(microseconds until);
 
   // Clients: plain requests and programs begin until `until`, one after a pause of `most_pause` at most.
   void offer(microseconds until, microseconds most_pause = usual_pause);
   simulator::world& where() { return where_; }
   oracle& judge() { return judge_; }
-  int losses() const { return losses_; }
+  int losses() const { return shape_.losses; }
+  std::string draw_zone();
   std::vector<std::string> story;
   void tell(const std::string& what);
 
@@ -108,19 +118,21 @@
   task<> plain(std::string kind, std::string target);
   task<> run_program();
   task<> run_line(std::shared_ptr<program> whole, std::string previous, int turns);
+  task<> read_forever(microseconds until);
+  task<> read_at(std::string core);
   task<> offer_until(microseconds until, microseconds most_pause);
 
   simulator::control_oracle make_control_oracle();
+  void tell_of_control(const json& line);
 
   simulator::world& where_;
   oracle& judge_;
-  int losses_ = 1;
+  site_shape shape_;
   simulator::control_oracle control_;
   std::map<std::string, machine_place> places_;
   std::map<std::string, std::shared_ptr<engine_life>> lives_;  // by machine
   std::vector<json> shown_;                                    // the platform's list, as it answers now
   std::map<std::string, int> missed_;                          // readiness, by edge
-  std::vector<std::string> bootstrap_;
   std::deque<microseconds> listings_;
   bool founded_ = false;
   std::array<connection, 24> connections_;
@@ -129,6 +141,6 @@
   std::map<std::int64_t, std::string> bodies_;
 };
 
-extern const char* const zones[3];
+extern const char* const zones[4];
 
 }  // namespace herontally::platform_simulator
--- a/tests/platform_site_clients.cc
+++ b/tests/platform_site_clients.cc
@@ -80,7 +80,7 @@
 
 task<outcome> site::ask(sent_request one, std::map<std::string, std::string> headers, std::string* attempt) {
   auto runtime = where_.runtime_of("clients");
-  std::string zone = zones[where_.draw(3)];
+  std::string zone = draw_zone();
   outcome last;
   for (int number = 0; number < 4; ++number) {
     one.attempt = "a" + std::to_string(++attempts_);
--- a/tests/platform_site_faults.cc
+++ b/tests/platform_site_faults.cc
@@ -19,7 +19,7 @@
 }
 
 const std::vector<std::string>& named_fault_kinds() {
-  static const std::vector<std::string> kinds{"core_wipe_many"};
+  static const std::vector<std::string> kinds{"core_wipe_many", "halves"};
   return kinds;
 }
 
@@ -96,7 +96,7 @@
 // All machines of a zone go without power and come back together, whatever else was under way.
 static void lose_zone(site& place) {
   auto& where = place.where();
-  std::string zone = zones[where.draw(3)];
+  std::string zone = place.draw_zone();
   place.tell("power of " + zone);
   std::vector<std::string> lost;
   for (auto* role : {"core", "store", "edge"})
@@ -142,9 +142,9 @@
   auto role = kind.substr(0, line);
   auto what = line == std::string::npos ? "" : kind.substr(line + 1);
   if (kind == "store_add") {
-    place.boot(place.add("store", zones[place.where().draw(3)]));
+    place.boot(place.add("store", place.draw_zone()));
   } else if (kind == "store_retire") {
-    if (place.of_role("store").size() < 4) place.boot(place.add("store", zones[place.where().draw(3)]));
+    if (place.of_role("store").size() < 4) place.boot(place.add("store", place.draw_zone()));
     runtime.spawn(place.retire(one_of(place, place.of_role("store"))));
   } else if (kind == "zone_power") {
     lose_zone(place);
@@ -164,7 +164,7 @@
     if (what == "crash") place.crash_engine(machine);
     if (what == "chill") place.chill_engine(machine);
   } else if (kind == "evacuate") {
-    runtime.spawn(evacuate_for(&place, zones[place.where().draw(3)]));
+    runtime.spawn(evacuate_for(&place, place.draw_zone()));
   } else if (kind == "acknowledged_power") {
     runtime.spawn(change_and_cut(&place));
   } else {
--- a/tests/platform_site_faults.h
+++ b/tests/platform_site_faults.h
@@ -8,7 +8,9 @@
   std::uint64_t seed = 1;
   std::vector<std::string> only;
   int faults = 8;
-  int losses = 1;                    // machines that keep data lost at once
+  site_shape shape;
+  // How long faults are struck on a long day; 0: `faults` of them, one after another.
+  microseconds long_day = 0;
   microseconds pause = usual_pause;  // the longest between two beginnings of clients
 };
 struct run_report {
@@ -18,7 +20,7 @@
 };
 
 const std::vector<std::string>& fault_kinds();
-// Kinds that are struck only where they are asked for by name.
+// Kinds that are struck on long days, or where they are asked for by name.
 const std::vector<std::string>& named_fault_kinds();
 // Nothing is struck among cores and stores before the last loss there, or the last ones, are whole again.
 void strike(site& where, const std::string& kind);
@@ -27,6 +29,12 @@
 // How long a core is kept from its like.
 constexpr microseconds isolation = 22 * second;
 void closing_fault(site& where, const std::string& kind, int losses);
+// Whether a kind of fault ends a run.
+bool is_closing(const std::string& kind);
 run_report run_scenario(const run_options& choice);
+// A day as long and as full as the users': a change every few hundred milliseconds, overlapping faults of
+// edges and engines, as many lost machines that keep data at once as must be borne, again as soon as the
+// pages allow, and a closing loss of everything.
+void play_long_day(site& where, const run_options& choice, const std::vector<std::string>& kinds);
 
 }  // namespace herontally::platform_simulator
--- a/tests/platform_site_operator.cc
+++ b/tests/platform_site_operator.cc
@@ -88,6 +88,28 @@
   co_return 0;
 }
 
+// One question to one core; the answer is judged by what was acknowledged before it was asked.
+task<> site::read_at(std::string core) {
+  auto runtime = where_.runtime_of("operator");
+  auto asked = where_.now();
+  runtime::http_request request;
+  request.path = "/-/config/read";
+  auto result = co_await runtime::http_fetch(runtime, control(core), request, second);
+  auto* response = std::get_if<runtime::http_response>(&result);
+  if (response && response->status == 200) judge_.read_during(core, asked, response->body);
+}
+
+task<> site::read_forever(microseconds until) {
+  auto runtime = where_.runtime_of("operator");
+  while (where_.now() < until) {
+    auto cores = of_role("core");
+    runtime.spawn(read_at(cores[where_.draw(cores.size())]));
+    co_await runtime.sleep(static_cast<microseconds>(where_.draw(400)) * millisecond);
+  }
+}
+
+void site::read_until(microseconds until) { where_.runtime_of("operator").spawn(read_forever(until)); }
+
 task<int> site::change(version next, bool partial) {
   auto base = std::to_string(next.base);
   auto generation = next.generation;
--- a/tests/platform_site_oracle.h
+++ b/tests/platform_site_oracle.h
@@ -82,6 +82,9 @@
   version& change_sent(version next);
   void change_ended(std::int64_t generation, int status);
   void read_back(const std::string& body, int status);
+  // A core answered a reading that was sent to it at `asked`; the bound holds for all machines, in touch or
+  // not.
+  void read_during(const std::string& core, microseconds asked, const std::string& body);
   void zone_begun(const std::string& zone);      // acknowledged
   void zone_finishing(const std::string& zone);  // about to be taken back
 
--- a/tests/platform_site_oracle_answers.cc
+++ b/tests/platform_site_oracle_answers.cc
@@ -129,6 +129,18 @@
          by_label(one, "backends") == by_label(other, "backends") && one["caps"] == other["caps"];
 }
 
+void oracle::read_during(const std::string& core, microseconds asked, const std::string& body) {
+  ++counts["readings"];
+  std::int64_t floor = 0;
+  for (auto& [generation, each] : versions_)
+    if (each.acknowledged >= 0 && asked > each.acknowledged + converge) floor = generation;
+  auto document = nlohmann::json::parse(body, nullptr, false);
+  auto generation = document.is_object() ? document.value("generation", std::int64_t{0}) : 0;
+  if (generation < floor)
+    against("CONFIG", core + " reads version " + std::to_string(generation) + " more than " +
+                          std::to_string(converge / millisecond) + " ms after " + std::to_string(floor));
+}
+
 void oracle::read_back(const std::string& body, int status) {
   auto newest = newest_acknowledged();
   if (status != 200) return against(closed_ >= 0 ? "LOST" : "CONFIG", "no configuration is read back");
--- a/tests/platform_site_scenario.cc
+++ b/tests/platform_site_scenario.cc
@@ -5,7 +5,7 @@
 
 namespace herontally::platform_simulator {
 
-static bool is_closing(const std::string& kind) {
+bool is_closing(const std::string& kind) {
   return kind == "all_power" || kind == "all_kill" || kind == "disk_lost";
 }
 // How long a fault may last until the next one may strike a core or store: its time, and to become whole.
@@ -35,19 +35,9 @@
   return (kind == "store_retire" ? 20 : 14) * second;
 }
 
-run_report run_scenario(const run_options& choice) {
-  simulator::world world(choice.seed);
-  oracle judge(world);
-  site place(world, judge, choice.losses);
-  run_report report;
-  if (!place.begin()) judge.violations.push_back({"BEGIN", "the site does not come up", world.now()});
-  std::vector<std::string> kinds, closing;
-  for (auto& kind : choice.only.empty() ? fault_kinds() : choice.only)
-    (is_closing(kind) ? closing : kinds).push_back(kind);
-  bool closes = !closing.empty() && (!choice.only.empty() || world.draw(2));
-  auto end = world.now() + 300 * second;
-  place.offer(end, choice.pause);
-  world.run_for(4 * second);
+// One fault after another; those of machines that keep data wait until the last one is made good.
+static void strike_in_turn(site& place, const run_options& choice, const std::vector<std::string>& kinds) {
+  auto& world = place.where();
   microseconds free = world.now();
   for (int number = 0; number < choice.faults && !kinds.empty(); ++number) {
     auto kind = kinds[world.draw(kinds.size())];
@@ -55,18 +45,40 @@
     if (data && world.now() < free) world.run_for(free - world.now());
     place.tell(kind);
     strike(place, kind);
-    if (data && choice.losses > 1) strike_again(place, kind);
+    if (data && choice.shape.losses > 1) strike_again(place, kind);
     if (data) free = world.now() + time_to_be_whole(kind);
     world.run_for((300 + static_cast<microseconds>(world.draw(3500))) * millisecond);
   }
   if (world.now() < free) world.run_for(free - world.now());
+}
+
+run_report run_scenario(const run_options& choice) {
+  simulator::world world(choice.seed);
+  oracle judge(world);
+  site place(world, judge, choice.shape);
+  run_report report;
+  if (!place.begin()) judge.violations.push_back({"BEGIN", "the site does not come up", world.now()});
+  std::vector<std::string> kinds, closing;
+  auto drawn = choice.only.empty() ? fault_kinds() : choice.only;
+  if (choice.only.empty() && choice.long_day > 0)
+    drawn.insert(drawn.end(), named_fault_kinds().begin(), named_fault_kinds().end());
+  for (auto& kind : drawn) (is_closing(kind) ? closing : kinds).push_back(kind);
+  bool always = !choice.only.empty() || choice.long_day > 0;
+  bool closes = !closing.empty() && (always || world.draw(2));
+  auto end = world.now() + 300 * second;
+  place.offer(end, choice.pause);
+  world.run_for(4 * second);
+  if (choice.long_day > 0)
+    play_long_day(place, choice, kinds);
+  else
+    strike_in_turn(place, choice, kinds);
   world.run_for(8 * second);
   if (closes) {
     // An acknowledgement just before must outlast it.
     change(place, "change");
     auto before = place.current;
     world.run_until([&] { return place.current > before; }, 5 * second);
-    closing_fault(place, closing[world.draw(closing.size())], choice.losses);
+    closing_fault(place, closing[world.draw(closing.size())], choice.shape.losses);
     world.run_for(recovery + 8 * second);
     judge.judge_recovery();
   }
