--- a/src/control_node/repair_bound.h
+++ b/src/control_node/repair_bound.h
@@ -10,7 +10,7 @@
 
 namespace herontally::control_node {
 
-// Periods until some node's turn comes to probe a given one, and until the news of it has gone round.
+// Periods until some node's turn comes to probe a given one, and until the others have learned of it.
 constexpr int probe_periods_until_noticed = 5;
 constexpr int probe_periods_until_known = 2;
 
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -48,7 +48,7 @@
             })) {}
 
   void watch_engines();
-  // The last line of a process that was told to end: how many requests it has read and not answered.
+  // The last line of a process that ends on notice: how many requests it has read and not answered.
   void log_end(std::int64_t unanswered) const;
   void set_seeds();
   // False: the request was answered.
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -128,8 +128,8 @@
   std::shared_ptr<std::uint64_t> number_;
 };
 
-// Graceful shutdown of servers: their clients are told with the next answer to close, and this returns once
-// all have, or at the time `until`.
+// Graceful shutdown of servers: their next answer asks each client to close its connection, and this returns
+// once all have, or at the time `until`.
 task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until);
 
 using http_outcome = std::variant<http_response, http_failure>;
