Graceful shutdown: settle before the end; count the requests that were read and not answered

A proxy on notice waited for its clients' connections alone, and no longer for turns that were answered and still had to be settled in the ledger. It waits for both now.

http_server_test asserts the count before, while and after a server drains.

--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -49,7 +49,7 @@
 
   void watch_engines();
   // The last line of a process that ends on notice: how many requests it has read and not answered.
-  void log_end(std::int64_t unanswered) const;
+  void log_end(const std::string& address) const;
   void set_seeds();
   // False: the request was answered.
   bool admit(const target& wanted, const http_api::writer& out);
@@ -73,7 +73,8 @@
   });
 }
 
-void node::state::log_end(std::int64_t unanswered) const {
+void node::state::log_end(const std::string& address) const {
+  auto unanswered = shared->runtime.http_connections(address).unanswered;
   shared->logger.info("ended on notice", {{"unanswered", unanswered}});
 }
 
@@ -115,12 +116,13 @@
 task<> node::leave() {
   constexpr std::int64_t reserve_milliseconds = 200;
   constexpr microseconds answer_time = 300 * millisecond;
+  constexpr microseconds poll_period = 50 * millisecond;
   auto self = state_;
   auto shared = self->shared;
   shared->leaving = true;
   if (self->ingress) {
     co_await self->ingress->drain();
-    self->log_end(self->ingress->in_flight());
+    self->log_end(shared->place.ingress);
     co_return;
   }
   auto until =
@@ -130,7 +132,10 @@
   shared->capacity.notify_all();
   std::vector<std::string> addresses{shared->place.http};
   co_await runtime::drain_connections(shared->runtime, std::move(addresses), until);
-  self->log_end(shared->requests_in_flight);
+  // What was answered may still have to be settled in the ledger.
+  while (shared->requests_in_flight > 0 && shared->runtime.now() < until)
+    co_await shared->runtime.sleep(poll_period);
+  self->log_end(shared->place.http);
 }
 
 bool node::state::admit(const target& wanted, const http_api::writer& out) {
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -85,7 +85,7 @@
     co_await runtime.sleep(poll_period);
     if (runtime.now() > last - closing_time) self->router_.close();
     // A client that keeps an idle connection may send its next request at any moment.
-    bool busy = self->router_.in_flight() > 0 || runtime.http_connections(place.ingress) > 0;
+    bool busy = self->router_.in_flight() > 0 || runtime.http_connections(place.ingress).open > 0;
     if (busy) calm_since = runtime.now();
   }
 }
--- a/src/proxy/platform_ingress.h
+++ b/src/proxy/platform_ingress.h
@@ -16,8 +16,6 @@
   // Ends once nothing has been in flight for a moment: clients that still hold a connection may send another
   // request on it, which is served then and marked as the last.
   task<> drain();
-  // Requests that were read and are not answered yet.
-  std::int64_t in_flight() const { return router_.in_flight(); }
 
  private:
   bool is_ready() const;
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -85,6 +85,12 @@
   microseconds connect_timeout = default_connect_timeout;
 };
 
+// The connections of clients at a server's address on which a request has come in.
+struct connection_counts {
+  std::size_t open = 0;
+  std::size_t unanswered = 0;  // of the open ones: those whose last request was read and isn't answered yet
+};
+
 struct disk_table {
   // Up to `length` bytes from `offset` on; fewer only where the file ends.
   std::function<std::variant<std::string, disk_error>(const std::string&, std::uint64_t offset,
@@ -109,8 +115,7 @@
   // From now on each answer at this address whose head has not gone out is the last one on its connection,
   // and says so.
   std::function<void(std::string)> http_drain;
-  // The open connections on which a request has come in at this address.
-  std::function<std::size_t(std::string)> http_connections;
+  std::function<connection_counts(std::string)> http_connections;
   std::function<std::uint64_t(std::string, http_request, std::function<void(http_event)>)> http_open;
   std::function<void(std::uint64_t)> http_cancel;
   disk_table disk;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -130,13 +130,18 @@
     auto here = weak.lock();
     if (here && here->servers.contains(address)) *here->servers[address]->draining = true;
   };
-  table.http_connections = [weak](std::string address) -> std::size_t {
+  table.http_connections = [weak](std::string address) -> connection_counts {
     auto here = weak.lock();
-    if (!here || !here->servers.contains(address)) return 0;
+    if (!here || !here->servers.contains(address)) return {};
     auto* server = here->servers[address].get();
-    auto is_at_server = [&](auto& entry) { return entry.second->server == server; };
-    return static_cast<std::size_t>(
-        std::count_if(here->connections.begin(), here->connections.end(), is_at_server));
+    connection_counts counts;
+    for (auto& [channel, connection] : here->connections) {
+      if (connection->server != server) continue;
+      auto exchange = connection->exchange.lock();
+      ++counts.open;
+      counts.unanswered += exchange && exchange->request && !exchange->gone ? 1 : 0;
+    }
+    return counts;
   };
 }
 
--- a/src/runtime/http_server_exchange.cc
+++ b/src/runtime/http_server_exchange.cc
@@ -136,6 +136,7 @@
   held->request = request;
   held->part = server.part->weak_from_this();
   held->draining = server.draining;
+  connection_of(server.part, evhttp_request_get_connection(request))->exchange = held;
   auto writer = std::make_shared<http_writer>();
   bind_answer(*writer, held);
   bind_connection(*writer, held);
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -80,7 +80,7 @@
   return state_->table.serve(std::move(address), std::move(handler));
 }
 void handle::http_drain(std::string address) const { state_->table.http_drain(std::move(address)); }
-std::size_t handle::http_connections(std::string address) const {
+connection_counts handle::http_connections(std::string address) const {
   return state_->table.http_connections(std::move(address));
 }
 bool handle::http_serve(std::string address, http_handler handler) const {
@@ -134,7 +134,7 @@
 task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until) {
   constexpr microseconds poll_period = 20 * millisecond;
   for (auto& address : addresses) runtime.http_drain(address);
-  auto is_open = [&](auto& address) { return runtime.http_connections(address) > 0; };
+  auto is_open = [&](auto& address) { return runtime.http_connections(address).open > 0; };
   while (runtime.now() < until && std::any_of(addresses.begin(), addresses.end(), is_open))
     co_await runtime.sleep(poll_period);
 }
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -24,7 +24,7 @@
   bool serve(std::string address, message_handler handler) const;
   bool http_serve(std::string address, http_handler handler) const;
   void http_drain(std::string address) const;
-  std::size_t http_connections(std::string address) const;
+  connection_counts http_connections(std::string address) const;
   const backend& table() const;
   task<std::optional<disk_error>> sync(std::string file) const;
   // Run by `stop`, so that what refers to itself in a ring is let go.
--- a/src/simulator/world_http.cc
+++ b/src/simulator/world_http.cc
@@ -141,9 +141,9 @@
     if (auto here = weak.lock()) here->machines.at(name)->draining_http.insert(address);
   };
   // Each exchange has a connection of its own, which ends with it.
-  table.http_connections = [weak, name](std::string address) -> std::size_t {
+  table.http_connections = [weak, name](std::string address) -> rt::connection_counts {
     auto here = weak.lock();
-    if (!here) return 0;
+    if (!here) return {};
     auto life = here->machines.at(name)->life;
     std::size_t open = 0;
     for (auto& [number, exchange] : here->exchanges) {
@@ -151,7 +151,7 @@
           exchange->server == name && exchange->server_life == life && exchange->address == address;
       open += at_server && exchange->arrived && !exchange->replied ? 1 : 0;
     }
-    return open;
+    return {open, open};
   };
 }
 
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -91,7 +91,8 @@
   auto& waiting = site.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
   auto& streaming = site.send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
   site.writers[2]->start(200, {});
-  CHECK(site.here.table.http_connections(site.at) == 3);
+  CHECK(site.here.table.http_connections(site.at).open == 3);
+  CHECK(site.here.table.http_connections(site.at).unanswered == 2);
   site.here.table.http_drain(site.at);
   // Asked before the notice, answered after it.
   site.writers[1]->reply(rt::http_response{200, {}, "y"});
@@ -102,7 +103,8 @@
   site.writers[2]->finish();
   REQUIRE(site.here.until([&] { return has(streaming, "0\r\n\r\n"); }));
   CHECK(!streaming.ended);
-  CHECK(site.here.table.http_connections(site.at) == 2);
+  CHECK(site.here.table.http_connections(site.at).open == 2);
+  CHECK(site.here.table.http_connections(site.at).unanswered == 0);
   // A request on a connection that was idle at the notice is answered.
   for (auto* end : {&kept, &streaming}) {
     auto before = site.requests.size();
@@ -114,7 +116,7 @@
     CHECK(has(*end, "last"));
     CHECK(!end->reset);
   }
-  CHECK(site.here.table.http_connections(site.at) == 0);
+  CHECK(site.here.table.http_connections(site.at).open == 0);
 }
 
 TEST_CASE("a client that closes or resets while its request is worked on is noticed once", "[http_server]") {
