http_server_test: the clients close before the loop ends, as the other case does

It closes them now. Such a socket at the very end of a process's loop isn't freed by the loop; that was so before.

--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -117,6 +117,9 @@
     CHECK(!end->reset);
   }
   CHECK(site.here.table.http_connections(site.at).open == 0);
+  // The server reads on until the clients have closed, too.
+  for (auto* end : {&kept, &waiting, &streaming}) end->close();
+  site.here.settle();
 }
 
 TEST_CASE("a client that closes or resets while its request is worked on is noticed once", "[http_server]") {
