--- a/src/control_node/platform_operator_api.cc
+++ b/src/control_node/platform_operator_api.cc
@@ -1,6 +1,6 @@
 #include "control_node/platform_operator_api.h"
 
-#include <openssl/evp.h>
+#include "hashing/digest.h"
 
 namespace herontally::control_node {
 
@@ -13,20 +13,13 @@
 constexpr microseconds command_timeout = 800 * millisecond;
 // This long after its start a core may not have heard of every machine.
 constexpr microseconds introduction_time = 5 * second;
-constexpr unsigned digest_bytes = 16;
+constexpr std::size_t digest_bytes = 16;
 
 // The digest by which a repeated call is recognised; stored.
 std::string digest_of(const platform_protocol::change_command& command) {
-  static const char digits[] = "0123456789abcdef";
   std::string text =
       std::to_string(command.expected) + (command.partial ? "/part/" : "/whole/") + command.body;
-  unsigned char raw[EVP_MAX_MD_SIZE];
-  unsigned size = 0;
-  EVP_Digest(text.data(), text.size(), raw, &size, EVP_sha256(), nullptr);
-  std::string out;
-  for (unsigned position = 0; position < digest_bytes && position < size; ++position)
-    out += {digits[raw[position] / 16], digits[raw[position] % 16]};
-  return out;
+  return hashing::sha256_hex(text, digest_bytes);
 }
 
 // What the register's answer makes of an outcome that the mutator found.
--- a/src/ledger/text.cc
+++ b/src/ledger/text.cc
@@ -1,6 +1,6 @@
 #include "ledger/text.h"
 
-#include <openssl/evp.h>
+#include "hashing/digest.h"
 
 namespace herontally::ledger {
 
@@ -14,15 +14,6 @@
   return document;
 }
 
-std::string digest_of(const std::string& text) {
-  static const char digits[] = "0123456789abcdef";
-  unsigned char raw[EVP_MAX_MD_SIZE];
-  unsigned int size = 0;
-  EVP_Digest(text.data(), text.size(), raw, &size, EVP_sha256(), nullptr);
-  std::string out;
-  for (unsigned int position = 0; position < size; ++position)
-    out += {digits[raw[position] >> 4], digits[raw[position] & 15]};
-  return out;
-}
+std::string digest_of(const std::string& text) { return hashing::sha256_hex(text); }
 
 }  // namespace herontally::ledger
