Configuration: tenants, keyed routes and services that share a key table

Change: the routing table has tenants (credentials, urgency, quota), the category keyed, anonymous routes and services whose engines share a table of operation keys; a credential of two tenants makes a configuration invalid. A field with the default isn't written, so that stored tables keep their bytes (json_field_when_set).

--- a/src/routing/table.cc
+++ b/src/routing/table.cc
@@ -1,6 +1,7 @@
 #include "routing/table.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace herontally::routing {
@@ -47,6 +48,7 @@
               {"connections", from.connections},
               {"cold_seconds", from.cold_seconds},
               {"cold_rate", from.cold_rate}};
+  if (from.deduplicates) document["deduplicates"] = true;
   if (from.model) document["model"] = *from.model;
 }
 
@@ -57,6 +59,7 @@
   to.connections = document.value("connections", to.connections);
   to.cold_seconds = document.value("cold_seconds", to.cold_seconds);
   to.cold_rate = document.value("cold_rate", to.cold_rate);
+  to.deduplicates = document.value("deduplicates", to.deduplicates);
   auto model = document.find("model");
   if (model != document.end() && !model->is_null()) to.model = model->get<model_engine>();
 }
@@ -66,6 +69,7 @@
               {"routes", from.routes},
               {"services", from.services},
               {"limits", from.limits}};
+  if (!from.tenants.empty()) document["tenants"] = from.tenants;
 }
 
 void from_json(const json& document, table& to) {
@@ -74,6 +78,7 @@
   to.routes = document.value("routes", to.routes);
   to.services = document.value("services", to.services);
   to.limits = document.value("limits", to.limits);
+  to.tenants = document.value("tenants", to.tenants);
 }
 
 const service* table::find_service(const std::string& name) const {
@@ -113,6 +118,23 @@
     faults.push_back({pointer + "/targets", "the shares add up to 0"});
 }
 
+static void check_tenants(const table& content, std::vector<violation>& faults) {
+  std::set<std::string> names;
+  std::map<std::string, std::string> owners;  // of credentials
+  for (std::size_t number = 0; number < content.tenants.size(); ++number) {
+    auto& entry = content.tenants[number];
+    auto pointer = "/tenants/" + std::to_string(number);
+    if (!names.insert(entry.name).second)
+      faults.push_back({pointer + "/name", "another tenant has this name: " + entry.name});
+    for (auto& credential : entry.credentials) {
+      auto [owner, added] = owners.emplace(credential, entry.name);
+      // The credential itself is a secret, which no answer repeats.
+      if (!added && owner->second != entry.name)
+        faults.push_back({pointer + "/credentials", "shares a credential with " + owner->second});
+    }
+  }
+}
+
 std::vector<violation> check(const table& content) {
   std::vector<violation> faults;
   std::set<std::string> names;
@@ -137,6 +159,7 @@
           {pointer + "/prefix", "another route has this host and prefix: " + entry.host + entry.prefix});
     check_route(content, entry, pointer, faults);
   }
+  check_tenants(content, faults);
   return faults;
 }
 
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -17,10 +17,12 @@
   idempotent,  // may be sent to several engines
   mutating,    // is sent to one engine once
   streaming,   // answered event by event
+  keyed,       // requests of one tenant under one operation key are one operation, which runs once
 };
 NLOHMANN_JSON_SERIALIZE_ENUM(category, {{category::mutating, "mutating"},
                                         {category::idempotent, "idempotent"},
-                                        {category::streaming, "streaming"}})
+                                        {category::streaming, "streaming"},
+                                        {category::keyed, "keyed"}})
 
 // One service among those that a route's requests are spread over; shares are relative.
 struct target {
@@ -48,6 +50,7 @@
   bool kept = false;       // the system holds what was said and builds the prompt from it
   bool affine = false;     // an engine that has seen the thing lately works faster
   bool resumable = false;  // a cut stream may be gone on with at another engine
+  bool anonymous = false;  // requests need no credential
 
   static constexpr bool missing_keys_allowed = true;
   static constexpr auto json_fields() {
@@ -59,7 +62,8 @@
                            json_field(&route::tries, "tries"), json_field(&route::interval_target, "gap"),
                            json_field(&route::keep, "keep"), json_field(&route::targets, "targets"),
                            json_field(&route::kept, "kept"), json_field(&route::affine, "affine"),
-                           json_field(&route::resumable, "resumable"));
+                           json_field(&route::resumable, "resumable"),
+                           serialization::json_field_when_set(&route::anonymous, "anonymous"));
   }
 };
 
@@ -74,9 +78,29 @@
   std::string name, probe;
   std::int64_t connections = 64;           // of all callers together
   double cold_seconds = 0, cold_rate = 0;  // requests a second that a cold engine bears; 0: no bound
+  bool deduplicates = false;               // its engines share a table of operation keys
   std::optional<model_engine> model;
 };
 
+// Who sends requests, identified by a credential. The quota is over all nodes together.
+struct tenant {
+  std::string name;
+  std::vector<std::string> credentials;
+  std::int64_t urgency = 0;        // decides before the route's; 0: the most urgent
+  double requests_per_second = 0;  // 0: no quota
+  double burst_requests = 0;       // beyond the rate
+
+  static constexpr bool missing_keys_allowed = true;
+  static constexpr auto json_fields() {
+    using serialization::json_field;
+    return std::make_tuple(json_field(&tenant::name, "name"), json_field(&tenant::credentials, "credentials"),
+                           json_field(&tenant::urgency, "urgency"),
+                           json_field(&tenant::requests_per_second, "requests_per_second"),
+                           json_field(&tenant::burst_requests, "burst_requests"));
+  }
+  bool has_quota() const { return requests_per_second > 0; }
+};
+
 // What a client may send: bytes and milliseconds.
 struct limits {
   std::int64_t max_head_bytes = 16384, max_body_bytes = 4 << 20, header_timeout = 3000, idle_timeout = 15000;
@@ -95,6 +119,7 @@
   std::int64_t version = 0;  // the operator's number
   std::vector<route> routes;
   std::vector<service> services;
+  std::vector<tenant> tenants;  // empty: requests need no credential
   routing::limits limits;
   const service* find_service(const std::string& name) const;
   // The longest prefix among the routes of this host; nothing: no such place.
@@ -112,7 +137,8 @@
 struct violation {
   std::string pointer, what;
 };
-// Unknown services, two routes in one place, shares that add up to 0, no deadline.
+// Unknown services, two routes in one place, shares that add up to 0, no deadline, a credential of two
+// tenants.
 std::vector<violation> check(const table& content);
 
 }  // namespace herontally::routing
--- a/src/serialization/json_fields.h
+++ b/src/serialization/json_fields.h
@@ -9,6 +9,9 @@
 //     static constexpr auto json_fields() { return std::make_tuple(json_field(&member::name, "name")); }
 //   };
 //
+// A field that came with a later version may be a `json_field_when_set`: it is written only where it differs
+// from its default, so that what earlier versions wrote stays as it was.
+//
 // Reading fails with nlohmann::json::out_of_range when a key is missing, unless the struct declares
 // `static constexpr bool missing_keys_allowed = true`: then a missing key leaves the member at its default.
 #pragma once
@@ -26,6 +29,15 @@
       : member(member_pointer), key(json_key) {}
 };
 
+// One that is written only where it differs from its default.
+template <class Struct, class Value>
+struct json_field_when_set {
+  Value Struct::*member;
+  const char* key;
+  constexpr json_field_when_set(Value Struct::*member_pointer, const char* json_key)
+      : member(member_pointer), key(json_key) {}
+};
+
 template <class Struct>
 concept has_json_fields = requires {
   Struct::json_fields();
@@ -42,7 +54,7 @@
   template <class Json>
   static void to_json(Json& document, const Struct& from) {
     document = Json::object();
-    std::apply([&](const auto&... field) { ((document[field.key] = from.*(field.member)), ...); },
+    std::apply([&](const auto&... field) { (write_field(document, field, from), ...); },
                Struct::json_fields());
   }
 
@@ -52,6 +64,18 @@
   }
 
  private:
+  template <class Json, class Value>
+  static void write_field(Json& document, const herontally::serialization::json_field<Struct, Value>& field,
+                          const Struct& from) {
+    document[field.key] = from.*(field.member);
+  }
+  template <class Json, class Value>
+  static void write_field(Json& document,
+                          const herontally::serialization::json_field_when_set<Struct, Value>& field,
+                          const Struct& from) {
+    static const Struct defaults{};
+    if (!(from.*(field.member) == defaults.*(field.member))) document[field.key] = from.*(field.member);
+  }
   template <class Json, class Field>
   static void read_field(const Json& document, const Field& field, Struct& to) {
     if constexpr (herontally::serialization::allows_missing_keys<Struct>) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -35,6 +35,11 @@
   std::int64_t memory_megabytes = 0;       // 0: no bound of ours
   // What may be lost at once with every guarantee kept; groups of voters are sized and spread for it.
   std::int64_t machine_losses = 1, zone_losses = 1;
+  // How far the requests of a tenant may exceed its quota within a window.
+  std::int64_t quota_window_milliseconds = 5000;
+  double max_quota_excess = 0.1, max_quota_slack = 20;  // part of what is granted in a window; requests
+  // How long an operation key names the same operation.
+  std::int64_t operation_key_milliseconds = 60000;
   int speaks = 0;  // version of the inner protocol; 0: the newest. Set by simulated sites alone
 };
 
