Quotas over all proxies: counts merged by maximum, a bound on running ahead

Each proxy counts its own requests; counts only grow within a life, so that copies merge by maximum. Two proxies a tenant, by rendezvous hashing over the live ones in two zones, merge the counts and hand them back, with what they take for left. A node admits ahead of what they know by its share of what is left and of a quarter of the slack; one whose knowledge is older than 200 ms asks first, the smaller side of a partition keeps to its equal share.

--- /dev/null
+++ b/src/quota/tenant_quotas.cc
@@ -0,0 +1,294 @@
+#include "quota/tenant_quotas.h"
+
+#include <limits>
+#include <set>
+#include <unordered_map>
+
+#include "hashing/fnv.h"
+
+namespace herontally::quota {
+
+using runtime::microseconds;
+using runtime::millisecond;
+using runtime::second;
+using runtime::task;
+
+namespace {
+
+constexpr microseconds exchange_timeout = 200 * millisecond;
+// Counts that change meanwhile share the next exchange with the same peer.
+constexpr microseconds exchange_pause = 40 * millisecond;
+// How long a request waits for its node's counts to be known, where the quota isn't used up.
+constexpr microseconds max_confirmation_wait = 150 * millisecond;
+// Other nodes' counts are asked for anew, also by a node that admits nothing.
+constexpr microseconds max_knowledge_age = 200 * millisecond;
+constexpr microseconds peer_retry_pause = second;
+// Levels are sent in thousandths of a request.
+constexpr double level_units = 1000;
+constexpr std::int64_t unknown_level = std::numeric_limits<std::int64_t>::max();
+
+}  // namespace
+
+std::vector<quota_peer> merging_peers(const std::string& tenant, const std::vector<quota_peer>& proxies) {
+  std::vector<std::pair<std::uint64_t, const quota_peer*>> ranked;
+  ranked.reserve(proxies.size());
+  for (auto& each : proxies) ranked.emplace_back(hashing::fnv1a(tenant + "/" + each.name), &each);
+  std::sort(ranked.begin(), ranked.end());
+  if (ranked.empty()) return {};
+  std::vector<quota_peer> chosen{*ranked.front().second};
+  auto in_another_zone = [&chosen](auto& each) { return each.second->zone != chosen.front().zone; };
+  auto second_peer = std::find_if(ranked.begin(), ranked.end(), in_another_zone);
+  if (second_peer == ranked.end()) second_peer = ranked.begin() + 1;
+  if (second_peer != ranked.end()) chosen.push_back(*second_peer->second);
+  return chosen;
+}
+
+struct tenant_quotas::state : std::enable_shared_from_this<tenant_quotas::state> {
+  // What is exchanged with one peer.
+  struct peer_link {
+    std::string address;
+    std::set<std::string> tenants;  // whose counts are to be sent
+    bool running = false;
+    std::int64_t incarnation = 0;              // of the peer, as it was seen
+    std::map<std::string, std::int64_t> seen;  // by tenant: the version of the peer's knowledge
+    microseconds retry_at = 0;                 // after a failure
+  };
+
+  rpc::endpoint endpoint;
+  std::string node;
+  std::int64_t incarnation;
+  tolerance allowed;
+  microseconds started;
+  std::vector<quota_peer> proxies;
+  std::int64_t agreed_count = 0;
+  std::unordered_map<std::string, limit> limits;  // of the tenants that have a quota
+  std::unordered_map<std::string, tenant_usage> usages;
+  std::unordered_map<std::string, microseconds> asked;    // by tenant: when counts were asked for last
+  std::unordered_map<std::string, microseconds> learned;  // and when an answer came
+  std::map<std::string, peer_link> links;                 // by name
+  std::int64_t version = 0;                               // of what this node knows of others
+  std::vector<runtime::slot<bool>> waiting;               // for the end of any exchange
+
+  state(rpc::endpoint from, std::string name, std::int64_t own_incarnation, tolerance tolerated)
+      : endpoint(std::move(from)),
+        node(std::move(name)),
+        incarnation(own_incarnation),
+        allowed(tolerated),
+        started(endpoint.runtime().now()) {}
+
+  microseconds now() const { return endpoint.runtime().now(); }
+  tenant_usage& usage_of(const std::string& tenant);
+  std::int64_t live_count() const { return static_cast<std::int64_t>(proxies.size()); }
+  std::int64_t proxy_count() const { return std::max(live_count(), agreed_count); }
+  void exchange(const std::string& tenant);
+  void exchange_if_old(const std::string& tenant);
+  bool is_fresh(const std::string& tenant) const;
+  void add_to_link(const quota_peer& peer, const std::string& tenant);
+  task<> run_link(std::string name);
+  task<bool> exchange_once(std::string name, std::string address);
+  void merge(const std::vector<rpc::tenant_count>& counts);
+  void take_levels(const rpc::quota_reply& reply, const std::vector<rpc::tenant_count>& sent);
+  void wake_waiting();
+  task<> wait_for_exchange(microseconds until);
+  rpc::quota_reply serve(const rpc::quota_request& request);
+};
+
+tenant_usage& tenant_quotas::state::usage_of(const std::string& tenant) {
+  auto found = usages.find(tenant);
+  if (found != usages.end()) return found->second;
+  auto& made =
+      usages.emplace(tenant, tenant_usage(tenant, node, incarnation, allowed, started)).first->second;
+  auto limited = limits.find(tenant);
+  if (limited != limits.end()) made.set_limit(limited->second, now());
+  return made;
+}
+
+bool tenant_quotas::state::is_fresh(const std::string& tenant) const {
+  if (live_count() * 2 <= agreed_count) return false;
+  auto last = learned.find(tenant);
+  return last != learned.end() && now() - last->second <= max_knowledge_age;
+}
+
+void tenant_quotas::state::add_to_link(const quota_peer& peer, const std::string& tenant) {
+  auto& link = links[peer.name];
+  link.address = peer.address;
+  if (now() < link.retry_at) return;
+  link.tenants.insert(tenant);
+  if (link.running) return;
+  link.running = true;
+  endpoint.runtime().spawn(run_link(peer.name));
+}
+
+void tenant_quotas::state::exchange(const std::string& tenant) {
+  asked[tenant] = now();
+  for (auto& peer : merging_peers(tenant, proxies)) {
+    if (peer.name != node) {
+      add_to_link(peer, tenant);
+      continue;
+    }
+    // Whoever asks this node learns its counts.
+    auto& usage = usage_of(tenant);
+    usage.confirm(usage.own_count(now()));
+    learned[tenant] = now();
+  }
+}
+
+void tenant_quotas::state::exchange_if_old(const std::string& tenant) {
+  auto last = asked.find(tenant);
+  if (last == asked.end() || now() - last->second > max_knowledge_age) exchange(tenant);
+}
+
+task<> tenant_quotas::state::run_link(std::string name) {
+  auto self = shared_from_this();
+  bool reached = true;
+  while (reached && !self->links[name].tenants.empty()) {
+    auto address = self->links[name].address;
+    reached = co_await self->exchange_once(name, address);
+    self->wake_waiting();
+    co_await self->endpoint.runtime().sleep(exchange_pause);
+  }
+  auto& link = self->links[name];
+  link.running = false;
+  if (reached) co_return;
+  link.tenants.clear();
+  link.retry_at = self->now() + peer_retry_pause;
+}
+
+task<bool> tenant_quotas::state::exchange_once(std::string name, std::string address) {
+  auto self = shared_from_this();
+  auto& link = self->links[name];
+  rpc::quota_request request;
+  request.node = self->node;
+  request.seen_by = link.incarnation;
+  for (auto& tenant : std::exchange(link.tenants, {})) {
+    request.counts.push_back(self->usage_of(tenant).own_count(self->now()));
+    request.seen.push_back(link.seen[tenant]);
+  }
+  auto sent = request.counts;
+  auto result = co_await self->endpoint.call(std::move(address), std::move(request), exchange_timeout);
+  auto* reply = rpc::reply_of(result);
+  self->endpoint.logger().count(reply ? "herontally_quota_exchanges_total"
+                                      : "herontally_quota_exchanges_failed_total");
+  if (!reply) co_return false;
+  self->merge(reply->counts);
+  self->take_levels(*reply, sent);
+  auto& answered = self->links[name];
+  if (answered.incarnation != reply->incarnation) answered.seen.clear();
+  answered.incarnation = reply->incarnation;
+  for (auto& count : sent) answered.seen[count.tenant] = reply->version;
+  co_return true;
+}
+
+void tenant_quotas::state::merge(const std::vector<rpc::tenant_count>& counts) {
+  ++version;
+  for (auto& count : counts) usage_of(count.tenant).merge(count, version, now());
+}
+
+void tenant_quotas::state::take_levels(const rpc::quota_reply& reply,
+                                       const std::vector<rpc::tenant_count>& sent) {
+  for (std::size_t position = 0; position < sent.size(); ++position) {
+    auto& usage = usage_of(sent[position].tenant);
+    usage.confirm(sent[position]);
+    learned[sent[position].tenant] = now();
+    if (position >= reply.levels.size() || reply.levels[position] == unknown_level) continue;
+    usage.learn_level(static_cast<double>(reply.levels[position]) / level_units, sent[position], now());
+  }
+}
+
+void tenant_quotas::state::wake_waiting() {
+  for (auto& waiter : std::exchange(waiting, {})) waiter.set(true);
+}
+
+task<> tenant_quotas::state::wait_for_exchange(microseconds until) {
+  auto self = shared_from_this();
+  auto runtime = self->endpoint.runtime();
+  auto left = until - runtime.now();
+  if (left <= 0) co_return;
+  runtime::slot<bool> notifier(runtime);
+  self->waiting.push_back(notifier);
+  auto timer = runtime.after(left, [notifier] { notifier.set(false); });
+  co_await notifier.wait();
+  runtime.cancel(timer);
+  std::erase_if(self->waiting, [](auto& waiter) { return waiter.is_set(); });
+}
+
+rpc::quota_reply tenant_quotas::state::serve(const rpc::quota_request& request) {
+  bool same_life = request.seen_by == incarnation && request.seen.size() == request.counts.size();
+  merge(request.counts);
+  rpc::quota_reply reply;
+  reply.incarnation = incarnation;
+  reply.version = version;
+  for (std::size_t position = 0; position < request.counts.size(); ++position) {
+    std::int64_t seen = same_life ? request.seen[position] : 0;
+    auto& usage = usage_of(request.counts[position].tenant);
+    usage.note_up_to_date(now());
+    for (auto& each : usage.counts_for(request.node, seen, now())) reply.counts.push_back(std::move(each));
+    // A node that has just started has merged too little to tell.
+    bool settled = now() - started >= allowed.window;
+    auto level = static_cast<std::int64_t>(usage.level(now()) * level_units);
+    reply.levels.push_back(settled ? level : unknown_level);
+  }
+  return reply;
+}
+
+tenant_quotas::tenant_quotas(rpc::endpoint endpoint, std::string node, std::int64_t incarnation,
+                             tolerance allowed)
+    : state_(std::make_shared<state>(std::move(endpoint), std::move(node), incarnation, allowed)) {}
+
+void tenant_quotas::start() {
+  state_->endpoint.serve<rpc::quota_request>(
+      [weak = std::weak_ptr<state>(state_)](rpc::quota_request request) -> task<rpc::quota_reply> {
+        auto self = weak.lock();
+        if (!self) co_return rpc::quota_reply{};
+        co_return self->serve(request);
+      });
+}
+
+void tenant_quotas::set_tenants(const std::vector<routing::tenant>& tenants) {
+  auto& self = *state_;
+  self.limits.clear();
+  for (auto& tenant : tenants) {
+    if (!tenant.has_quota()) continue;
+    limit granted{tenant.requests_per_second, tenant.burst_requests};
+    self.limits[tenant.name] = granted;
+    auto used = self.usages.find(tenant.name);
+    if (used != self.usages.end()) used->second.set_limit(granted, self.now());
+  }
+}
+
+void tenant_quotas::set_peers(std::vector<quota_peer> proxies, std::int64_t agreed_count) {
+  state_->proxies = std::move(proxies);
+  state_->agreed_count = agreed_count;
+}
+
+task<admission> tenant_quotas::admit(std::string tenant) {
+  auto self = state_;
+  if (!self->limits.contains(tenant)) co_return admission{};
+  auto until = self->now() + max_confirmation_wait;
+  self->usage_of(tenant).offer(self->now());
+  self->exchange_if_old(tenant);
+  while (true) {
+    auto& usage = self->usage_of(tenant);
+    auto found = usage.admit(self->proxy_count(), self->is_fresh(tenant), self->now());
+    if (found == verdict::granted) {
+      self->exchange(tenant);
+      co_return admission{};
+    }
+    bool over = found == verdict::exceeded || self->now() >= until;
+    if (over) {
+      self->endpoint.logger().count(found == verdict::exceeded ? "herontally_quota_exceeded_total"
+                                                               : "herontally_quota_unconfirmed_total");
+      constexpr microseconds least_pause = 50 * millisecond;
+      auto pause = std::max(least_pause, usage.refill_time(self->now()));
+      co_return admission{false, pause / millisecond};
+    }
+    self->exchange(tenant);
+    co_await self->wait_for_exchange(until);
+  }
+}
+
+void tenant_quotas::give_back(const std::string& tenant) {
+  if (state_->limits.contains(tenant)) state_->usage_of(tenant).give_back(state_->now());
+}
+
+}  // namespace herontally::quota
