Router: tenants by credential, quotas, operations by key

Change: a credential gives the tenant (401 without one, none needed on anonymous routes); engines see the tenant's name and never the credential; programs, turns and operations are stored under their tenant; a credential is looked at again before each attempt; 429 with when to come back; an operation is claimed, replayed, kept and released (router/operation.cc).

--- a/src/platform_protocol/adapter.h
+++ b/src/platform_protocol/adapter.h
@@ -26,6 +26,8 @@
   std::int64_t time_left = -1, program_time_left = -1, budget = -1, prompt_tokens = 0, most_tokens = 0;
   std::vector<prompt_part> parts;
   std::string assumed_weights;
+  std::string credential;     // of the tenant that sends it
+  std::string operation_key;  // requests of one tenant that bear the same one are one operation
 };
 
 // What an engine's answer says of itself.
@@ -118,6 +120,8 @@
   std::function<request_metadata(const std::map<std::string, std::string>& headers)> read_request;
   std::function<response_metadata(int status, const std::map<std::string, std::string>& headers)>
       read_response;
+  // Takes the credential off, and names the tenant in place of what the client named; empty: none.
+  std::function<void(std::map<std::string, std::string>& headers, const std::string& tenant)> set_tenant;
   // Sets the fields that the next hop needs over the request's own.
   std::function<void(std::map<std::string, std::string>& headers, const std::string& engine,
                      std::int64_t time_left, std::int64_t urgency)>
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -4,8 +4,14 @@
 
 namespace {
 
-router::router_options options_of(const context& shared) {
+quota::tolerance tolerance_of(const settings::settings& place) {
+  return {place.quota_window_milliseconds * millisecond, place.max_quota_excess, place.max_quota_slack};
+}
+
+router::router_options options_of(const context& shared, quota::tenant_quotas quotas) {
   router::router_options options;
+  options.quotas = std::move(quotas);
+  options.operation_key_time = shared.place.operation_key_milliseconds * millisecond;
   options.zone = shared.place.zone;
   options.min_cached_token_delta = shared.platform.min_cached_token_delta;
   return options;
@@ -15,8 +21,10 @@
 
 platform_ingress::platform_ingress(std::shared_ptr<context> shared)
     : context_(shared),
+      quotas_(shared->endpoint, shared->place.name, shared->incarnation, tolerance_of(shared->place)),
       router_(shared->runtime, shared->logger, shared->platform.adapter,
-              ledger::program_ledger(shared->stores), options_of(*shared)) {}
+              ledger::program_ledger(shared->stores), ledger::operation_ledger(shared->stores),
+              options_of(*shared, quotas_)) {}
 
 bool platform_ingress::is_ready() const {
   // Without a view of the ledger's stores no turn could be taken.
@@ -24,6 +32,7 @@
 }
 
 std::optional<std::string> platform_ingress::open() {
+  quotas_.start();
   std::weak_ptr<platform_ingress> weak = weak_from_this();
   auto& place = context_->place;
   auto& runtime = context_->runtime;
@@ -51,12 +60,18 @@
   if (changed && shared.config && shared.config->routing)
     router_.set_routing(*shared.config->routing, shared.config->evacuated_zones);
   router_.set_engines(reply.engines, reply.draining_engines);
-  std::int64_t live = 0;
-  for (auto& member : shared.members)
-    if (member.role == rpc::node_role::proxy && member.is_live()) ++live;
+  std::vector<quota::quota_peer> proxies;
+  for (auto& member : shared.members) {
+    bool live_proxy = member.role == rpc::node_role::proxy && member.is_live();
+    // A proxy's entry is probed at its agent; it is reached itself at the other address.
+    if (live_proxy) proxies.push_back({member.name, member.http, member.zone});
+  }
+  auto live = static_cast<std::int64_t>(proxies.size());
   // By the agreed list of edges, not the membership: nodes with different views of who lives would send more
   // than the rate between them.
   auto& ranks = shared.ranks;
+  auto agreed = shared.config ? std::max(ranks.proxies, ranks.previous_proxies) : 0;
+  quotas_.set_peers(std::move(proxies), agreed);
   router_.set_nodes(
       live, {shared.config ? ranks.proxies : 0, ranks.rank, ranks.previous_proxies, ranks.previous_rank});
   // Readiness asks for the view of the stores before any client does.
--- a/src/proxy/platform_ingress.h
+++ b/src/proxy/platform_ingress.h
@@ -21,6 +21,7 @@
   bool is_ready() const;
 
   std::shared_ptr<context> context_;
+  quota::tenant_quotas quotas_;
   router::request_router router_;
 };
 
--- a/src/router/attempt.cc
+++ b/src/router/attempt.cc
@@ -57,8 +57,8 @@
   request.body = one.body;
   request.headers = end_to_end(one.request.headers);
   auto left = (one.deadline - runtime.now()) / millisecond;
-  adapter->address_request(request.headers, made.engine_id, std::max<std::int64_t>(1, left),
-                           one.route.urgency);
+  adapter->address_request(request.headers, made.engine_id, std::max<std::int64_t>(1, left), one.urgency);
+  if (one.tenant) adapter->set_tenant(request.headers, *one.tenant);
   request.pooled = true;
   request.most_connections = made.connections;
   bool repeatable = one.route.kind == routing::category::idempotent;
@@ -101,7 +101,7 @@
 task<attempt_outcome> request_router::state::handle_answer(exchange_pointer one, plan made,
                                                            std::shared_ptr<runtime::http_stream> stream,
                                                            runtime::http_head head) {
-  constexpr int misdirected = 421, bad_request = 400;
+  constexpr int misdirected = 421, bad_request = 400, conflict = 409;
   auto self = shared_from_this();
   auto metadata = self->adapter->read_response(head.status, head.headers);
   one->engine_heard = true;
@@ -111,6 +111,10 @@
     co_return attempt_outcome::wrong_engine;
   }
   bool promised = metadata.not_run || head.status == misdirected;
+  if (promised && head.status == conflict && one->route.kind == routing::category::keyed) {
+    co_await self->read_to_end(stream);
+    co_return attempt_outcome::in_progress;
+  }
   if (promised && head.status != bad_request) {
     self->engines.answered(made.engine, metadata, self->runtime.now());
     co_await self->read_to_end(stream);
@@ -198,6 +202,7 @@
   // A success counts only under the engine's stamp.
   bool unstamped = is_success(status) && !metadata.sealed;
   if (unstamped || is_promise(status)) co_return attempt_outcome::unknown;
+  co_await self->keep_operation_answer(one, response);
   self->logger.count("herontally_answers_total");
   one->out->reply(std::move(response));
   co_return attempt_outcome::answered;
@@ -207,10 +212,10 @@
 // outlive them holds what they said itself, and goes on from none.
 static ledger::turn_record turn_to_keep(const exchange& one, std::int64_t promised_until) {
   ledger::turn_record record;
-  record.id = one.metadata.attempt;
+  record.id = one.ledger_id(one.metadata.attempt);
   record.kept_until = promised_until + chain_margin;
   bool outlives_chain = one.chain_kept_until < promised_until && one.body.size() <= max_copied_chain;
-  record.previous = outlives_chain ? "" : one.metadata.previous;
+  record.previous = outlives_chain ? "" : one.ledger_id(one.metadata.previous);
   record.input = outlives_chain ? one.body : one.request.body;
   return record;
 }
--- a/src/router/request.cc
+++ b/src/router/request.cc
@@ -22,8 +22,8 @@
 
 task<> reserve_into(ledger::program_ledger programs, exchange_pointer one, microseconds until,
                     runtime::slot<program_reservation> done) {
-  auto result = co_await programs.reserve(one->metadata.program, one->metadata.attempt, one->metadata.budget,
-                                          one->metadata.most_tokens, until);
+  auto result = co_await programs.reserve(one->ledger_id(one->metadata.program), one->metadata.attempt,
+                                          one->metadata.budget, one->metadata.most_tokens, until);
   done.set(result);
 }
 
@@ -42,9 +42,14 @@
   return whole + body;
 }
 
-bool is_repeatable(const routing::route& route) {
-  bool resumable = route.kind == routing::category::streaming && route.resumable;
-  return route.kind == routing::category::idempotent || resumable;
+// Engines that share a table of operation keys run an operation once, however often it is sent.
+bool is_deduplicated(const exchange& one) {
+  return one.operation && one.operation->deduplicated && one.service.deduplicates;
+}
+
+bool is_repeatable(const exchange& one) {
+  bool resumable = one.route.kind == routing::category::streaming && one.route.resumable;
+  return one.route.kind == routing::category::idempotent || resumable || is_deduplicated(one);
 }
 
 }  // namespace
@@ -71,7 +76,7 @@
   ledger::chain_result chain;
   chain.status = chain_status::found;
   bool continues = one->route.kept && !one->metadata.previous.empty();
-  if (continues) chain = co_await self->programs.read_chain(one->metadata.previous, until);
+  if (continues) chain = co_await self->programs.read_chain(one->ledger_id(one->metadata.previous), until);
   auto reserved = program_reservation::granted;
   if (budgeted) {
     reserved = co_await reserving.wait();
@@ -89,7 +94,9 @@
 task<> request_router::state::run(exchange_pointer one) {
   auto self = shared_from_this();
   bool prepared = co_await self->prepare(one);
+  if (prepared) prepared = co_await self->claim_operation(one);
   if (prepared) co_await self->run_attempts(one);
+  if (must_release(*one)) self->runtime.spawn(self->release_operation(one, take_claim(*one)));
   // What was put out is spent; nobody waits for the ledger's reply.
   if (one->reserved) self->runtime.spawn(self->settle(one));
 }
@@ -99,8 +106,8 @@
   auto self = shared_from_this();
   std::int64_t event_tokens = one->service.model ? one->service.model->event_tokens : 1;
   auto result =
-      co_await self->programs.settle(one->metadata.program, one->metadata.attempt, one->events * event_tokens,
-                                     self->runtime.now() + settle_timeout);
+      co_await self->programs.settle(one->ledger_id(one->metadata.program), one->metadata.attempt,
+                                     one->events * event_tokens, self->runtime.now() + settle_timeout);
   if (result != ledger::program_settlement::settled) self->logger.count("herontally_unsettled_turns_total");
 }
 
@@ -113,6 +120,8 @@
   bool listed = false;
   for (auto& target : route->targets)
     listed = listed || (target.service == one.service.name && target.share > 0);
+  // An operation stays with the service that it was claimed for.
+  if (!listed && one.operation) return false;
   const auto* service =
       listed ? table.find_service(one.service.name) : draw_service(*route, table, runtime.random());
   if (!service) return false;
@@ -129,6 +138,10 @@
   bool same = route && route->kept == one.route.kept && route->kind == one.route.kind;
   if (same && attempt > 1) same = take_current_route(one);
   if (!same) return rejection{503, "the route has changed", 50};
+  // A credential may have been withdrawn while the request waited.
+  auto identified = identify_sender(one);
+  if (auto* against = std::get_if<rejection>(&identified)) return *against;
+  if (std::get<sender>(identified).tenant != one.tenant) return rejection{503, "the tenant has changed", 50};
   return std::nullopt;
 }
 
@@ -144,17 +157,24 @@
   }
   // Held no longer than a part of its latency target without an engine: another node may have capacity.
   auto until = std::min(one->deadline, one->arrived + one->route.latency_target * millisecond / 5);
-  bool notified = co_await self->wait_for_capacity(until, one->route.urgency);
+  bool notified = co_await self->wait_for_capacity(until, one->urgency);
   if (notified) co_return not_planned::try_again;
   self->reject(one, {503, "all engines are busy", 100});
   co_return not_planned::rejected;
 }
 
+static bool may_have_run(attempt_outcome outcome) {
+  bool promised = outcome == attempt_outcome::not_run || outcome == attempt_outcome::in_progress;
+  bool unheard = outcome == attempt_outcome::not_sent || outcome == attempt_outcome::wrong_engine;
+  return !promised && !unheard;
+}
+
 // How the client is answered after an attempt; nothing: the next attempt follows.
 static std::optional<rejection> rejection_after(attempt_outcome outcome, const exchange& one, int tries) {
   if (outcome == attempt_outcome::overdue) return rejection{504, "the engine did not answer in time"};
+  if (outcome == attempt_outcome::in_progress) return rejection{409, "the operation is in progress", 100};
   bool not_run = outcome == attempt_outcome::not_run;
-  bool again = tries < one.route.tries && (not_run || is_repeatable(one.route));
+  bool again = tries < one.route.tries && (not_run || is_repeatable(one));
   if (again) return std::nullopt;
   if (not_run) return rejection{503, "the engine is full", 60};
   return rejection{502, "the engine's answer was lost"};
@@ -179,6 +199,7 @@
     auto outcome = co_await self->run_attempt(one, std::move(*made));
     bool over = outcome == attempt_outcome::answered || outcome == attempt_outcome::client_gone ||
                 outcome == attempt_outcome::cut;
+    one->may_have_run = one->may_have_run || may_have_run(outcome);
     if (over) co_return;
     // Nothing listens at that address, or another engine does: the request went to none.
     if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::wrong_engine) continue;
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -14,20 +14,30 @@
 // Just after a start the table and the list are moments away: whoever waits for them is served sooner than by
 // another node, where after a loss of everything nobody is further on.
 constexpr std::int64_t max_startup_wait_milliseconds = 1200;
+// Levels of urgency of the routes, which order the requests of tenants of like urgency.
+constexpr std::int64_t route_urgency_levels = 3;
+
+std::int64_t combined_urgency(const routing::tenant* tenant, const routing::route& route) {
+  if (!tenant) return route.urgency;
+  return tenant->urgency * route_urgency_levels + std::min(route.urgency, route_urgency_levels - 1);
+}
 
 }  // namespace
 
 request_router::request_router(runtime::handle runtime, logging::logger logger,
                                std::shared_ptr<const platform_protocol::adapter> adapter,
-                               ledger::program_ledger programs, router_options options)
+                               ledger::program_ledger programs, ledger::operation_ledger operations,
+                               router_options options)
     : state_(std::make_shared<state>(runtime, logger, std::move(adapter), std::move(programs),
-                                     std::move(options))) {}
+                                     std::move(operations), std::move(options))) {}
 
 void request_router::set_routing(routing::table table, std::set<std::string> evacuated_zones) {
   if (state_->has_routing && table.version < state_->table.version) return;
   state_->table = std::move(table);
   state_->evacuated_zones = std::move(evacuated_zones);
   state_->has_routing = true;
+  state_->tenants.set_tenants(state_->table.tenants, state_->runtime.random());
+  if (state_->options.quotas) state_->options.quotas->set_tenants(state_->table.tenants);
   for (auto& service : state_->table.services)
     if (service.model && !service.model->min_cached_token_delta)
       service.model->min_cached_token_delta = state_->options.min_cached_token_delta;
@@ -54,7 +64,11 @@
   return {table, evacuated_zones, options.zone, nodes, group, runtime.now(), runtime.wall()};
 }
 
-void request_router::state::reject(const exchange_pointer& one, const rejection& why) {
+void request_router::state::reject(const exchange_pointer& one, const rejection& asked) {
+  constexpr int bad_gateway = 502;
+  auto why = asked;
+  // 503 would promise that an operation hasn't run, and never will.
+  if (why.status == 503 && is_operation(*one) && one->may_have_run) why = {bad_gateway, asked.reason};
   logger.count("herontally_refusals_total{reason=\"" + why.reason + "\"}");
   logger.debug("refused", {{"request", one->metadata.attempt}, {"status", why.status}, {"why", why.reason}});
   runtime::http_response response;
@@ -62,7 +76,10 @@
   response.headers["Content-Type"] = "application/json";
   response.body = nlohmann::json{{"error", why.reason}}.dump() + "\n";
   if (why.retry_milliseconds > 0) adapter->set_retry_after(response.headers, why.retry_milliseconds);
-  one->out->reply(std::move(response));
+  if (must_release(*one))
+    runtime.spawn(release_and_reply(one, take_claim(*one), std::move(response)));
+  else
+    one->out->reply(std::move(response));
 }
 
 void request_router::state::notify_waiting() { waiting.notify_all(); }
@@ -100,6 +117,11 @@
   const auto* route = route_of(one);
   if (!route) return rejection{404, "no such route"};
   one.route = *route;
+  auto identified = identify_sender(one);
+  if (auto* against = std::get_if<rejection>(&identified)) return *against;
+  auto& sent_by = std::get<sender>(identified);
+  one.tenant = sent_by.tenant;
+  one.urgency = sent_by.urgency;
   const auto* service = draw_service(*route, table, runtime.random());
   if (!service) return rejection{503, "the route has no service", 500};
   one.service = *service;
@@ -110,6 +132,30 @@
   return std::nullopt;
 }
 
+std::variant<sender, rejection> request_router::state::identify_sender(const exchange& one) const {
+  constexpr int unauthorized = 401;
+  if (tenants.empty()) return sender{std::nullopt, one.route.urgency};
+  const auto* found = tenants.find(one.metadata.credential);
+  if (!found && !one.route.anonymous) return rejection{unauthorized, "unknown credential"};
+  return sender{found ? found->name : std::string(), combined_urgency(found, one.route)};
+}
+
+task<bool> request_router::state::admit_by_quota(exchange_pointer one) {
+  constexpr int too_many_requests = 429;
+  auto self = shared_from_this();
+  bool limited = self->options.quotas && one->tenant && !one->tenant->empty();
+  if (!limited) co_return true;
+  auto admission = co_await self->options.quotas->admit(*one->tenant);
+  if (admission.granted) co_return true;
+  self->reject(one, {too_many_requests, "the tenant's quota is used up", admission.retry_milliseconds});
+  co_return false;
+}
+
+void request_router::state::give_back_quota(const exchange& one) {
+  bool counted = options.quotas && one.tenant && !one.tenant->empty();
+  if (counted && !one.may_have_run) options.quotas->give_back(*one.tenant);
+}
+
 // Whoever waits for an engine on the request's behalf is woken when its client goes away.
 static void watch_client(const exchange_pointer& one) {
   if (!one->out->on_gone) return;
@@ -145,7 +191,9 @@
   }
   ++self->in_flight;
   watch_client(one);
-  co_await self->run(one);
+  bool admitted = co_await self->admit_by_quota(one);
+  if (admitted) co_await self->run(one);
+  if (admitted) self->give_back_quota(*one);
   --self->in_flight;
 }
 
--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -2,9 +2,11 @@
 // and the engine's answer back to the client.
 #pragma once
 #include "http_api/responses.h"
+#include "ledger/operation_ledger.h"
 #include "ledger/program_ledger.h"
 #include "logging/logging.h"
 #include "platform_protocol/adapter.h"
+#include "quota/tenant_quotas.h"
 #include "router/slow_start_share.h"
 #include "runtime/runtime.h"
 
@@ -15,6 +17,9 @@
   std::int64_t most_requests = 2000;  // in flight at once
   // A lead in cached tokens above which a source is named, for models whose table names none. Off: nothing.
   std::optional<std::int64_t> min_cached_token_delta;
+  std::optional<quota::tenant_quotas> quotas;  // nothing: tenants' quotas are not enforced
+  // How long an operation key names the same operation.
+  runtime::microseconds operation_key_time = 60 * runtime::second;
 };
 
 // Copies share one state.
@@ -22,7 +27,7 @@
  public:
   request_router(runtime::handle runtime, logging::logger logger,
                  std::shared_ptr<const platform_protocol::adapter> adapter, ledger::program_ledger programs,
-                 router_options options);
+                 ledger::operation_ledger operations, router_options options);
   // The table that is in force from now on, and the zones that get no requests. One with a lower version is
   // ignored.
   void set_routing(routing::table table, std::set<std::string> evacuated_zones);
--- a/tests/request_router_fixture.h
+++ b/tests/request_router_fixture.h
@@ -45,7 +45,8 @@
     choice.zone = "z";
     logging::logger logger("w", [](auto&, auto&) {});
     node_router = std::make_shared<router::request_router>(runtime, logger, platform::make_adapter(),
-                                                           ledger::program_ledger(writer), choice);
+                                                           ledger::program_ledger(writer),
+                                                           ledger::operation_ledger(writer), choice);
     runtime.http_serve("10.0.1.1:80", [node_router = node_router, runtime](runtime::inbound_request request,
                                                                            http_api::writer out) {
       runtime.spawn(node_router->serve(std::move(request), std::move(out)));
--- a/tests/wire_bytes_test.cc
+++ b/tests/wire_bytes_test.cc
@@ -12,9 +12,11 @@
 #include "engine/listing.h"
 #include "ledger/call_ledger.h"
 #include "ledger/conversation_record.h"
+#include "ledger/operation_ledger.h"
 #include "ledger/program_record.h"
 #include "platform/adapter.h"
 #include "rpc/endpoint.h"
+#include "rpc/quota_messages.h"
 
 using namespace herontally;
 
@@ -129,10 +131,18 @@
   add(out, "envelope", cover);
 }
 
+void add_quotas(named_bytes& out) {
+  rpc::tenant_count count{"tenant-1", "proxy-1", 11, 40, 3, 9, 12};
+  add(out, "tenant_count", count);
+  add(out, rpc::quota_request{"proxy-1", {count}, 22, {7}});
+  add(out, rpc::quota_reply{{count, count}, 22, 8, {-1500}});
+}
+
 named_bytes messages() {
   named_bytes out;
   add_voting(out);
   add_control(out);
+  add_quotas(out);
   return out;
 }
 
@@ -186,6 +196,12 @@
       ledger::to_text(ledger::program_record{7, 1700000000000000, {{"turn %", 9}}, {"t1", "t2"}});
   out["turn_record"] =
       hex(ledger::to_text(ledger::turn_record{"id 1", "id 0", "in", bytes_of_all_values, 12}));
+  ledger::operation_record operation{
+      ledger::operation_state::answered, "attempt/1", "chat", true, 13, 14, 200,
+      {{"x-server-seal", "seal"}},       "ok"};
+  operation.body = bytes_of_all_values;
+  out["operation_record"] = hex(ledger::to_text(operation));
+  out["operation_key"] = ledger::operation_record_key("4:shop/key");
   out["turn_key"] = ledger::turn_key("a b%c") + " " + ledger::program_key("a\"b");
   out["keys"] = ledger::conversation_key("p", "chat:1") + " " + ledger::call_record_key("p", "label", "key");
   configuration::record record;
