--- a/src/quota/tenant_usage.cc
+++ b/src/quota/tenant_usage.cc
@@ -19,7 +19,7 @@
 constexpr microseconds max_peer_silence = 60 * second;
 constexpr microseconds introduction_time = second;
 
-// Whether a node's demand differs enough to be told to others.
+// Whether a node's demand differs enough to be sent to others.
 bool demand_changed(std::int64_t now, std::int64_t before) {
   return std::abs(now - before) > std::max<std::int64_t>(2, before / 4);
 }
@@ -175,8 +175,8 @@
     merged.admitted = std::max(count.admitted, known.admitted);
     merged.returned = std::max(count.returned, known.returned);
   }
-  if (changed)
-    same ? charge_late(used(merged) - before) : charge_recent(static_cast<double>(count.recent), now);
+  if (changed && same) charge_late(used(merged) - before);
+  if (!same) charge_recent(static_cast<double>(count.recent), now);
   known = merged;
   peer.version = version;
   peer.merged = now;
--- a/src/router/request_router_state.h
+++ b/src/router/request_router_state.h
@@ -112,7 +112,7 @@
         operations(std::move(given_operations)),
         options(std::move(given)) {}
   planning_context planning() const;
-  void reject(const exchange_pointer& one, const rejection& why);
+  void reject(const exchange_pointer& one, const rejection& asked);
 
   // Admission.
   bool is_serving() const { return has_routing && engines.known(); }
