Agent: vouch for the proxy's configuration once it is known which engines drain

Cause: an agent that had just started vouched for the configuration as soon as a core or peers had, while the engine list it was offered was too old to be taken and its own look at the platform wasn't over. Its proxy, which had not restarted, went on by what it knew. Change: until the agent has a list or has looked, its proxy's poll is answered without an age, so that the proxy goes by its own freshness and stops when that ends.

--- a/src/agent/draining_watch.cc
+++ b/src/agent/draining_watch.cc
@@ -17,12 +17,15 @@
 }
 
 bool draining_watch::may_take_list(const rpc::config_update_reply& reply) {
-  bool known = looked_ || context_->configs.engines_version().sequence > 0;
-  bool may = !is_old(reply.engines_age_milliseconds) || known || broken("outlook");
+  bool may = !is_old(reply.engines_age_milliseconds) || is_informed() || broken("outlook");
   list_waiting_ = !may;
   return may;
 }
 
+bool draining_watch::is_informed() const {
+  return looked_ || context_->configs.engines_version().sequence > 0;
+}
+
 // Draining engines in the product's own list protocol.
 static std::optional<std::vector<std::string>> draining_in(const runtime::http_outcome& result) {
   auto* response = std::get_if<runtime::http_response>(&result);
--- a/src/agent/draining_watch.h
+++ b/src/agent/draining_watch.h
@@ -20,6 +20,8 @@
   // first, and the list taken once that look is over: without an answer the engines' own word is all there
   // is.
   bool may_take_list(const rpc::config_update_reply& reply);
+  // Whether this node has heard since its start which engines drain, or has asked the platform in vain.
+  bool is_informed() const;
 
  private:
   bool is_old(std::int64_t age_milliseconds) const;
--- a/src/agent/proxy_link.cc
+++ b/src/agent/proxy_link.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "runtime/breaks.h"
+
 namespace herontally::agent {
 
 namespace {
@@ -66,9 +68,12 @@
     self->note_proxy(request);
     co_await self->announce_applied();
   }
-  auto age = [feed = self->feed_]() -> std::int64_t {
+  // Our proxy may go on from before our start, and knows of no engine that has begun to drain since we ended:
+  // it serves again once we know.
+  auto age = [feed = self->feed_, watch = self->watch_, from_proxy]() -> std::int64_t {
     auto here = feed.lock();
-    return here ? here->age_milliseconds() : -1;
+    bool vouches = here && (!from_proxy || watch->is_informed() || broken("informed"));
+    return vouches ? here->age_milliseconds() : -1;
   };
   auto reply = co_await self->context_->configs.wait_for_update(std::move(request), age);
   if (!from_proxy) {
