--- a/src/agent/proxy_link.cc
+++ b/src/agent/proxy_link.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "runtime/breaks.h"
-
 namespace herontally::agent {
 
 namespace {
@@ -72,7 +70,7 @@
   // it serves again once we know.
   auto age = [feed = self->feed_, watch = self->watch_, from_proxy]() -> std::int64_t {
     auto here = feed.lock();
-    bool vouches = here && (!from_proxy || watch->is_informed() || broken("informed"));
+    bool vouches = here && (!from_proxy || watch->is_informed());
     return vouches ? here->age_milliseconds() : -1;
   };
   auto reply = co_await self->context_->configs.wait_for_update(std::move(request), age);
