Observability: a resources line of each process, and counters of membership work

New counters: herontally_member_entries_visited_total, herontally_member_rows_sent_total. Every 10 s a process at level INFO logs a line 'resources' with its processor time, peak memory, messages and bytes, and these counters.

--- a/src/agent/proxy_link.cc
+++ b/src/agent/proxy_link.cc
@@ -54,6 +54,7 @@
     bool wanted = member.role == rpc::node_role::store || member.role == rpc::node_role::proxy;
     if (wanted || member.name == context_->place.name) useful.push_back(member);
   }
+  context_->logger.count("herontally_member_rows_sent_total", static_cast<double>(useful.size()));
   reply.members = nlohmann::json(useful).dump();
 }
 
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -39,6 +39,7 @@
       bool other = found != entries.end() && found->second.member.inner != self.inner;
       if (other && found->second.member.is_live()) return found->second.member;
     }
+    visited += entries.size();
     for (auto& [name, each] : entries) probe_order.push_back(name);
     std::shuffle(probe_order.begin(), probe_order.end(), endpoint.runtime().random());
   }
@@ -79,6 +80,7 @@
   auto here = shared_from_this();
   auto runtime = here->endpoint.runtime();
   std::vector<std::string> third_parties;
+  here->visited += here->entries.size();
   for (auto& [name, each] : here->entries)
     if (name != here->self.name && name != target.name && each.member.status == rpc::member_status::alive)
       third_parties.push_back(each.member.inner);
@@ -107,6 +109,7 @@
 task<> member_list::state::probe_someone_fully(std::optional<member> target) {
   auto here = shared_from_this();
   std::vector<std::string> addresses = here->seeds;
+  here->visited += here->entries.size();
   for (auto& [name, each] : here->entries)
     if (name != here->self.name) addresses.push_back(each.member.inner);
   auto address = target ? addresses[here->endpoint.runtime().draw(addresses.size())]
@@ -127,6 +130,7 @@
       next_full = now + (now - begun < newcomer_time ? newcomer_full_probe_period : full_probe_period);
       co_await here->probe_someone_fully(target);
     }
+    here->report_visits();
     auto drawn = static_cast<microseconds>(runtime.draw(jitter));
     co_await runtime.sleep(here->options.period - jitter / 2 + drawn);
   }
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -64,6 +64,7 @@
   auto now = endpoint.runtime().now();
   std::vector<member> dead;
   for (auto next = entries.begin(); next != entries.end();) {
+    ++visited;
     auto& [member, times_sent, since] = next->second;
     if (member.status == member_status::suspect && now - since > options.suspicion_timeout) {
       dead.push_back(member);
@@ -83,6 +84,7 @@
     hash = hashing::fnv1a_step(hashing::fnv1a(text, hash), separator);
   };
   for (auto& [name, each] : entries) {
+    ++visited;
     if (!each.member.is_live()) continue;
     mix(name);
     mix(rpc::wire_name(each.member.status));
@@ -92,10 +94,16 @@
   return static_cast<std::int64_t>(hash | 1);
 }
 
+void member_list::state::report_visits() const {
+  endpoint.logger().count("herontally_member_entries_visited_total", static_cast<double>(visited));
+  visited = 0;
+}
+
 std::vector<member> member_list::state::choose_updates(bool full) {
   // An update is passed on this often, which reaches everybody with near certainty.
   int max_times = 3 * static_cast<int>(std::ceil(std::log2(static_cast<double>(entries.size() + 2))));
   std::vector<entry*> candidates;
+  visited += entries.size();
   for (auto& [name, each] : entries)
     if (full || each.times_sent < max_times) candidates.push_back(&each);
   // What was sent least often goes first.
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -7,6 +7,7 @@
 
 #include "logging/logging.h"
 #include "runtime/event_loop.h"
+#include "runtime/resource_report.h"
 #include "settings/settings.h"
 
 namespace herontally::runtime {
@@ -40,6 +41,7 @@
     owner->stop();
   };
   loop.runtime().spawn(begin(&*node, &loop, &code, role));
+  loop.runtime().spawn(report_resources_forever(loop.runtime(), logger));
   bool leaving = false;
   loop.on_notice([&] {
     if (leaving) return;
--- /dev/null
+++ b/src/runtime/resource_report.cc
@@ -0,0 +1,55 @@
+#include "runtime/resource_report.h"
+
+#include <sys/resource.h>
+
+namespace herontally::runtime {
+
+namespace {
+
+constexpr microseconds report_period = 10 * second;
+
+microseconds duration_of(const timeval& time) { return time.tv_sec * second + time.tv_usec; }
+
+// Counters whose growth since the last line is reported beside the processor time.
+struct reported_counter {
+  const char* field;
+  const char* metric;
+  double last = 0;
+};
+
+}  // namespace
+
+resource_use resources_in_use() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) != 0) return {};
+  return {duration_of(usage.ru_utime) + duration_of(usage.ru_stime), usage.ru_maxrss};
+}
+
+task<> report_resources_forever(handle runtime, logging::logger logger) {
+  std::vector<reported_counter> counters{
+      {"bytes_sent", "herontally_inner_asked_bytes_total"},
+      {"messages_served", "herontally_inner_messages_total"},
+      {"bytes_served", "herontally_inner_bytes_total"},
+      {"member_entries_visited", "herontally_member_entries_visited_total"},
+      {"member_rows_sent", "herontally_member_rows_sent_total"},
+      {"records_caught_up", "herontally_catch_up_records_total"},
+  };
+  auto before = resources_in_use().processor_time;
+  while (true) {
+    co_await runtime.sleep(report_period);
+    auto use = resources_in_use();
+    nlohmann::json fields{{"processor_ms", (use.processor_time - before) / millisecond},
+                          {"peak_kb", use.peak_kilobytes}};
+    before = use.processor_time;
+    for (auto& counter : counters) {
+      auto value = logger.value(counter.metric);
+      fields[counter.field] = value - counter.last;
+      counter.last = value;
+    }
+    logger.gauge("herontally_peak_resident_kilobytes", static_cast<double>(use.peak_kilobytes));
+    logger.gauge("herontally_processor_milliseconds", static_cast<double>(use.processor_time / millisecond));
+    logger.info("resources", std::move(fields));
+  }
+}
+
+}  // namespace herontally::runtime
