--- /dev/null
+++ b/tests/store_overload_test.cc
@@ -0,0 +1,61 @@
+// A voter that gets more than its disk or its processor can take.
+#include "heap_meter.h"
+#include "replica_group_fixture.h"
+
+using namespace herontally;
+using runtime::millisecond;
+using runtime::second;
+using tests::group;
+
+namespace {
+
+// Of the smallest storage machines that the users have. The other half is for the records' index.
+constexpr std::size_t smallest_store_memory = 57u << 20;
+constexpr std::size_t most_memory = smallest_store_memory / 2;
+constexpr std::size_t body_bytes = 24 << 10;
+constexpr int puts_in_burst = 40;
+constexpr int bursts = 100;
+
+struct put_results {
+  int answered = 0, kept = 0;
+};
+
+runtime::task<> put(rpc::endpoint from, std::string address, rpc::put_content_request request,
+                    std::shared_ptr<put_results> results) {
+  auto result = co_await from.call(std::move(address), std::move(request), 600 * millisecond);
+  auto* reply = std::get_if<rpc::put_content_reply>(&result);
+  if (!reply) co_return;
+  ++results->answered;
+  results->kept += reply->status == rpc::reply_status::ok ? 1 : 0;
+}
+
+}  // namespace
+
+// FAULT of issue 37: stores of 57 MB ended by themselves.
+TEST_CASE("FAULT: a store whose disk hangs holds no more than its memory bears") {
+  group site(7);
+  auto writer = site.begin();
+  auto results = std::make_shared<put_results>();
+  auto view = writer.current_view().number;
+  site.world.find("s1").disk.sync_time = 20 * second;
+  auto before = tests::heap_now().live;
+  tests::reset_heap_peak();
+  for (int burst = 0; burst < bursts; ++burst) {
+    for (int number = 0; number < puts_in_burst; ++number) {
+      rpc::put_content_request request;
+      request.voter = site.voters["s1"]->id();
+      request.digest = "turn/" + std::to_string(burst * puts_in_burst + number);
+      request.body = std::string(body_bytes, 'x');
+      request.view = view;
+      site.world.runtime_of("w").spawn(put(writer.endpoint(), group::address("s1"), request, results));
+    }
+    site.world.run_for(20 * millisecond);
+  }
+  std::size_t held = tests::heap_now().peak - before;
+  INFO("held at the most " << (held >> 10) << " kB of " << (bursts * puts_in_burst * body_bytes >> 10)
+                           << " kB offered; " << results->answered << " answered");
+  REQUIRE(held < most_memory);
+  // Nothing was acknowledged that isn't on the disk, and what doesn't fit is refused at once.
+  REQUIRE(results->kept == 0);
+  REQUIRE(results->answered > 0);
+}
