Membership: a node's periodic work doesn't grow with the fleet

Each probe summed, sorted and aged all entries. Now the checksum is kept up with each change, updates that are still to be told, and members that aren't alive, have indices of their own, and third parties are drawn instead of listed. Rows of a full exchange aren't passed on one by one: after a start of 240 nodes each message carried 14 rows for over 40 s.

--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -49,7 +49,7 @@
 task<rpc::probe_reply> member_list::state::serve_probe(rpc::probe_request request) {
   auto here = shared_from_this();
   rpc::probe_reply reply;
-  for (auto& update : request.updates) here->apply(update);
+  here->apply_all(request.updates);
   if (!request.target.empty()) {
     bool reached = co_await here->probe(request.target, false, here->options.direct_timeout);
     reply.reached = reached;
@@ -66,7 +66,7 @@
   auto result = co_await here->endpoint.call(address, std::move(request), timeout);
   auto* reply = std::get_if<rpc::probe_reply>(&result);
   if (!reply) co_return false;
-  for (auto& update : reply->updates) here->apply(update);
+  here->apply_all(reply->updates);
   if (!full || reply->checksum == here->checksum()) co_return true;
   // We have applied all that it knows, so that it lacks something of ours; a node of an older version, which
   // says no checksum, always gets all entries.
@@ -79,14 +79,8 @@
 task<bool> member_list::state::probe_indirectly(member target) {
   auto here = shared_from_this();
   auto runtime = here->endpoint.runtime();
-  std::vector<std::string> third_parties;
-  here->visited += here->entries.size();
-  for (auto& [name, each] : here->entries)
-    if (name != here->self.name && name != target.name && each.member.status == rpc::member_status::alive)
-      third_parties.push_back(each.member.inner);
-  std::shuffle(third_parties.begin(), third_parties.end(), runtime.random());
   auto limit = static_cast<std::size_t>(here->options.indirect_probes);
-  if (third_parties.size() > limit) third_parties.resize(limit);
+  auto third_parties = here->draw_alive(limit, target.name);
   runtime::mailbox<bool> answers(runtime);
   auto timeout = here->options.indirect_timeout;
   for (auto& address : third_parties)
@@ -108,12 +102,14 @@
 // Seeds and the dead are tried too, so that two halves of a partition find together again.
 task<> member_list::state::probe_someone_fully(std::optional<member> target) {
   auto here = shared_from_this();
-  std::vector<std::string> addresses = here->seeds;
-  here->visited += here->entries.size();
-  for (auto& [name, each] : here->entries)
-    if (name != here->self.name) addresses.push_back(each.member.inner);
-  auto address = target ? addresses[here->endpoint.runtime().draw(addresses.size())]
-                        : here->seeds[here->next_seed_++ % here->seeds.size()];
+  auto runtime = here->endpoint.runtime();
+  std::string address = here->seeds[here->next_seed_ % here->seeds.size()];
+  bool draws_seed = target && runtime.draw(here->seeds.size() + here->names.size()) < here->seeds.size();
+  if (!target || draws_seed)
+    ++here->next_seed_;
+  else
+    address = here->draw_address();
+  if (address.empty()) co_return;
   if (address != here->self.inner) co_await here->probe(address, true, here->options.direct_timeout);
 }
 
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -18,8 +18,74 @@
   return update.status > known.status;
 }
 
+namespace {
+
+// More often than any update is passed on.
+constexpr int fully_spread = 1 << 20;
+
+// An update is passed on this often, which reaches everybody with near certainty.
+int times_to_send(std::size_t members) {
+  return 3 * static_cast<int>(std::ceil(std::log2(static_cast<double>(members + 2))));
+}
+
+std::uint64_t checksum_of(const member& member) {
+  if (!member.is_live()) return 0;
+  constexpr unsigned char separator = 0xff;
+  std::uint64_t hash = hashing::fnv_offset_basis;
+  auto mix = [&hash](const std::string& text) {
+    hash = hashing::fnv1a_step(hashing::fnv1a(text, hash), separator);
+  };
+  mix(member.name);
+  mix(rpc::wire_name(member.status));
+  mix(std::to_string(member.incarnation));
+  mix(std::to_string(member.refutations));
+  return hash;
+}
+
+}  // namespace
+
 void member_list::state::put(const member& member) {
-  entries[member.name] = entry{member, 0, endpoint.runtime().now()};
+  auto [position, inserted] = entries.try_emplace(member.name);
+  auto& known = position->second;
+  if (inserted) {
+    known.position = names.size();
+    names.push_back(member.name);
+  } else {
+    live_checksum -= known.checksum;
+    pending.erase({known.times_sent, member.name});
+    by_version.erase(known.version);
+  }
+  known.member = member;
+  known.times_sent = 0;
+  known.since = endpoint.runtime().now();
+  known.version = ++version;
+  index(position->first, known);
+}
+
+void member_list::state::index(const std::string& name, entry& put) {
+  put.checksum = checksum_of(put.member);
+  live_checksum += put.checksum;
+  pending.insert({put.times_sent, name});
+  by_version[put.version] = name;
+  if (put.member.status == member_status::alive)
+    not_alive.erase(name);
+  else
+    not_alive.insert(name);
+}
+
+void member_list::state::forget(const std::string& name) {
+  auto found = entries.find(name);
+  if (found == entries.end()) return;
+  auto& gone = found->second;
+  live_checksum -= gone.checksum;
+  pending.erase({gone.times_sent, name});
+  not_alive.erase(name);
+  by_version.erase(gone.version);
+  // The last name takes the free place.
+  entries.at(names.back()).position = gone.position;
+  std::swap(names[gone.position], names.back());
+  names.pop_back();
+  entries.erase(found);
   ++version;
 }
 
@@ -51,6 +117,22 @@
       "member", {{"member", update.name}, {"status", rpc::wire_name(update.status)}, {"zone", update.zone}});
 }
 
+void member_list::state::apply_all(const std::vector<member>& updates) {
+  bool full_exchange = updates.size() > max_updates_per_message;
+  fit_pending_to_size();
+  for (auto& update : updates) {
+    auto before = version;
+    apply(update);
+    if (full_exchange && version != before && update.name != self.name) stop_spreading(update.name);
+  }
+}
+
+void member_list::state::stop_spreading(const std::string& name) {
+  auto& known = entries.at(name);
+  pending.erase({known.times_sent, name});
+  known.times_sent = fully_spread;
+}
+
 void member_list::state::suspect(const std::string& name, std::int64_t incarnation) {
   auto found = entries.find(name);
   if (found == entries.end()) return;
@@ -63,67 +145,95 @@
 void member_list::state::expire() {
   auto now = endpoint.runtime().now();
   std::vector<member> dead;
-  for (auto next = entries.begin(); next != entries.end();) {
-    ++visited;
-    auto& [member, times_sent, since] = next->second;
-    if (member.status == member_status::suspect && now - since > options.suspicion_timeout) {
-      dead.push_back(member);
+  std::vector<std::string> forgotten;
+  visited += not_alive.size();
+  for (auto& name : not_alive) {
+    auto& known = entries.at(name);
+    auto age = now - known.since;
+    if (known.member.status == member_status::suspect && age > options.suspicion_timeout) {
+      dead.push_back(known.member);
       dead.back().status = member_status::dead;
     }
-    bool forgotten = !member.is_live() && now - since > options.retention;
-    if (forgotten) ++version;
-    next = forgotten ? entries.erase(next) : std::next(next);
+    if (!known.member.is_live() && age > options.retention) forgotten.push_back(name);
   }
+  for (auto& name : forgotten) forget(name);
   for (auto& update : dead) apply(update);
 }
 
-std::int64_t member_list::state::checksum() const {
-  constexpr unsigned char separator = 0xff;
-  std::uint64_t hash = hashing::fnv_offset_basis;
-  auto mix = [&hash](const std::string& text) {
-    hash = hashing::fnv1a_step(hashing::fnv1a(text, hash), separator);
-  };
-  for (auto& [name, each] : entries) {
-    ++visited;
-    if (!each.member.is_live()) continue;
-    mix(name);
-    mix(rpc::wire_name(each.member.status));
-    mix(std::to_string(each.member.incarnation));
-    mix(std::to_string(each.member.refutations));
-  }
-  return static_cast<std::int64_t>(hash | 1);
-}
+std::int64_t member_list::state::checksum() const { return static_cast<std::int64_t>(live_checksum | 1); }
 
 void member_list::state::report_visits() const {
   endpoint.logger().count("herontally_member_entries_visited_total", static_cast<double>(visited));
   visited = 0;
 }
 
-std::vector<member> member_list::state::choose_updates(bool full) {
-  // An update is passed on this often, which reaches everybody with near certainty.
-  int max_times = 3 * static_cast<int>(std::ceil(std::log2(static_cast<double>(entries.size() + 2))));
-  std::vector<entry*> candidates;
+// With more members an update has to be passed on more often, also one that had spread far enough among
+// fewer.
+void member_list::state::fit_pending_to_size() {
+  int times = times_to_send(entries.size());
+  if (times <= max_times_sent) return;
+  max_times_sent = times;
   visited += entries.size();
   for (auto& [name, each] : entries)
-    if (full || each.times_sent < max_times) candidates.push_back(&each);
-  // What was sent least often goes first.
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](entry* left, entry* right) { return left->times_sent < right->times_sent; });
-  if (!full && candidates.size() > max_updates_per_message) candidates.resize(max_updates_per_message);
+    if (each.times_sent < times) pending.insert({each.times_sent, name});
+}
+
+std::vector<member> member_list::state::all_updates() {
+  visited += entries.size();
+  std::vector<member> updates;
+  pending.clear();
+  for (auto& [name, each] : entries) {
+    ++each.times_sent;
+    if (each.times_sent < max_times_sent) pending.insert({each.times_sent, name});
+    updates.push_back(each.member);
+  }
+  return updates;
+}
+
+std::vector<member> member_list::state::choose_updates(bool full) {
+  fit_pending_to_size();
+  if (full) return all_updates();
+  std::vector<pending_update> chosen;
+  for (auto next = pending.begin(); next != pending.end() && chosen.size() < max_updates_per_message; ++next)
+    chosen.push_back(*next);
+  visited += chosen.size();
   std::vector<member> updates;
-  for (auto* each : candidates) {
-    ++each->times_sent;
-    updates.push_back(each->member);
+  for (auto& each : chosen) {
+    auto& known = entries.at(each.name);
+    updates.push_back(known.member);
+    pending.erase(each);
+    ++known.times_sent;
+    if (known.times_sent < max_times_sent) pending.insert({known.times_sent, each.name});
   }
   return updates;
 }
 
+std::string member_list::state::draw_address() {
+  auto& drawn = entries.at(names[endpoint.runtime().draw(names.size())]);
+  return drawn.member.name == self.name ? std::string() : drawn.member.inner;
+}
+
+std::vector<std::string> member_list::state::draw_alive(std::size_t limit, const std::string& except) {
+  // Where few are alive, some draws find none of them.
+  constexpr std::size_t max_draws_each = 8;
+  std::set<std::string> drawn;
+  for (std::size_t draw = 0; draw < limit * max_draws_each && drawn.size() < limit; ++draw) {
+    auto& name = names[endpoint.runtime().draw(names.size())];
+    bool other = name != self.name && name != except;
+    if (other && !not_alive.contains(name)) drawn.insert(name);
+    ++visited;
+  }
+  std::vector<std::string> addresses;
+  for (auto& name : drawn) addresses.push_back(entries.at(name).member.inner);
+  return addresses;
+}
+
 member_list::member_list(rpc::endpoint endpoint, member self, std::vector<std::string> seeds,
                          probe_options options)
     : state_(std::make_shared<state>(std::move(endpoint), std::move(self), std::move(seeds), options)) {
   // A node's incarnations are ordered by the time at which they began.
   if (state_->self.incarnation == 0) state_->self.incarnation = state_->endpoint.runtime().wall();
-  state_->version = state_->self.incarnation;
+  state_->first_version = state_->version = state_->self.incarnation;
   state_->put(state_->self);
 }
 
@@ -182,6 +292,14 @@
   for (auto& update : updates) state_->apply(update);
 }
 
+std::optional<std::vector<member>> member_list::changed_since(std::int64_t version) const {
+  if (version < state_->first_version || version > state_->version) return std::nullopt;
+  std::vector<member> changed;
+  auto next = state_->by_version.upper_bound(version);
+  for (; next != state_->by_version.end(); ++next) changed.push_back(state_->entries.at(next->second).member);
+  return changed;
+}
+
 std::int64_t member_list::version() const { return state_->version; }
 
 std::vector<member> members_from_text(const std::string& text) {
--- a/src/membership/member_list.h
+++ b/src/membership/member_list.h
@@ -43,6 +43,9 @@
   void on_change(std::function<void(const rpc::member&)> handler);
   // Takes updates that came outside the probes, such as an agent's on its proxy.
   void apply_updates(const std::vector<rpc::member>& updates);
+  // The entries that changed after this version, in the order of their changes; nothing if the version isn't
+  // one of this list's, so that only the whole list will do. Entries that were forgotten aren't among them.
+  std::optional<std::vector<rpc::member>> changed_since(std::int64_t version) const;
   // Grows with every change of an entry, and from one incarnation of this node to the next.
   std::int64_t version() const;
 
