Proxies are told the membership rows that changed, not all of them

At every reply, changed or not, the proxy made the list of quota peers anew from all rows. Protocol 6: a proxy says that it can merge changes, the agent names the version that they follow on; the version before gets all rows. The agent also keeps the addresses of the cores for each version of the membership instead of at each poll. The test's last lines ask as a proxy before did: all of some 60 rows for one change; 1 row now. Wire data: the two kinds that gained a field.

--- a/src/agent/config_feed.cc
+++ b/src/agent/config_feed.cc
@@ -51,11 +51,15 @@
 }
 
 std::string config_feed::next_core() {
-  std::vector<std::string> cores;
-  for (auto& core : context_->members.live(rpc::node_role::core)) cores.push_back(core.inner);
+  auto version = context_->members.version();
+  if (version != cores_version_) {
+    cores_.clear();
+    for (auto& core : context_->members.live(rpc::node_role::core)) cores_.push_back(core.inner);
+    cores_version_ = version;
+  }
   // A seed that is no core closes the request, and the next one is tried.
-  if (cores.empty()) cores = context_->place.seeds;
-  return cores[core_number_ % cores.size()];
+  auto& addresses = cores_.empty() ? context_->place.seeds : cores_;
+  return addresses[core_number_ % addresses.size()];
 }
 
 void config_feed::learn_from_core(const rpc::config_update_reply& reply, microseconds asked) {
--- a/src/agent/config_feed.h
+++ b/src/agent/config_feed.h
@@ -35,6 +35,8 @@
   std::shared_ptr<draining_watch> watch_;
   std::function<std::int64_t()> applied_revision_;
   std::vector<std::string> edges_;  // all that the configuration lists, also while the set changes
+  std::vector<std::string> cores_;  // addresses of those that are live, as of this version of the membership
+  std::int64_t cores_version_ = -1;
   std::size_t core_number_ = 0;
 };
 
--- a/src/agent/proxy_link.cc
+++ b/src/agent/proxy_link.cc
@@ -46,11 +46,14 @@
 }
 
 // Entries are many and change seldom: a proxy that has the newest isn't sent them again.
-void proxy_link::add_members(rpc::config_update_reply& reply, std::int64_t known_version) const {
-  reply.members_version = context_->members.version();
-  if (reply.members_version == known_version) return;
+void proxy_link::add_members(rpc::config_update_reply& reply, known_members known) const {
+  auto& members = context_->members;
+  reply.members_version = members.version();
+  if (reply.members_version == known.version) return;
+  auto changes = known.takes_changes ? members.changed_since(known.version) : std::nullopt;
+  if (changes) reply.members_since = known.version;
   std::vector<rpc::member> useful;
-  for (auto& member : context_->members.all()) {
+  for (auto& member : changes ? *changes : members.all()) {
     bool wanted = member.role == rpc::node_role::store || member.role == rpc::node_role::proxy;
     if (wanted || member.name == context_->place.name) useful.push_back(member);
   }
@@ -62,7 +65,7 @@
   auto self = shared_from_this();
   // Only our own proxy gives its address.
   bool from_proxy = !request.http.empty();
-  auto known_members = request.members_version;
+  known_members known{request.members_version, request.takes_member_changes};
   if (from_proxy) {
     self->note_proxy(request);
     co_await self->announce_applied();
@@ -81,7 +84,7 @@
     co_return reply;
   }
   reply.draining_engines = self->watch_->draining();
-  self->add_members(reply, known_members);
+  self->add_members(reply, known);
   co_return reply;
 }
 
--- a/src/agent/proxy_link.h
+++ b/src/agent/proxy_link.h
@@ -20,7 +20,12 @@
  private:
   void note_proxy(const rpc::config_update_request& request);
   task<> announce_applied();
-  void add_members(rpc::config_update_reply& reply, std::int64_t known_version) const;
+  // Which rows of the membership the proxy has.
+  struct known_members {
+    std::int64_t version = 0;
+    bool takes_changes = false;  // it can merge rows that changed since
+  };
+  void add_members(rpc::config_update_reply& reply, known_members known) const;
   void update_entry();
 
   std::shared_ptr<context> context_;
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -10,14 +10,19 @@
 constexpr microseconds poll_timeout = 600 * millisecond;
 constexpr microseconds retry_pause = 100 * millisecond;
 
-void config_follower::take_members(const rpc::config_update_reply& reply) {
-  auto members = membership::members_from_text(reply.members);
-  if (members.empty()) return;
-  context_->members = std::move(members);
+bool config_follower::take_members(const rpc::config_update_reply& reply) {
+  auto rows = membership::members_from_text(reply.members);
+  bool only_changes = reply.members_since > 0;
+  if (rows.empty() && !only_changes) return false;
+  // Changes since a version that this process doesn't have say nothing of what came before it.
+  if (only_changes && reply.members_since != members_version_) return false;
+  if (!only_changes) context_->members.clear();
+  for (auto& row : rows) {
+    if (row.role == rpc::node_role::agent && row.inner == context_->place.agent) agent_name_ = row.name;
+    context_->members[row.name] = row;
+  }
   members_version_ = reply.members_version;
-  for (auto& member : context_->members)
-    if (member.role == rpc::node_role::agent && member.inner == context_->place.agent)
-      agent_name_ = member.name;
+  return !rows.empty();
 }
 
 // The agreed list of edges decides, not the membership: proxies with different views of who lives would hand
@@ -51,15 +56,16 @@
 void config_follower::take(const rpc::config_update_reply& reply, microseconds asked) {
   auto& shared = *context_;
   bool own_protocol = !shared.platform.adapter;
-  if (!reply.members.empty()) take_members(reply);
+  update_changes changed;
+  changed.members = take_members(reply);
   if (!reply.engines.empty()) {
     engines_epoch_ = reply.engines_epoch;
     engines_sequence_ = reply.engines_sequence;
     if (own_protocol) shared.engines.set_list(reply.engines);
   }
   if (own_protocol) shared.engines.set_draining(reply.draining_engines);
-  bool changed = take_config(reply);
-  if (shared.config) update_ranks();
+  changed.configuration = take_config(reply);
+  if (shared.config && (changed.configuration || changed.members)) update_ranks();
   on_update_(reply, changed);
   // The agent vouches for its knowledge as of some moment before it replied.
   if (reply.age_milliseconds >= 0 && revision() >= reply.revision)
@@ -77,6 +83,7 @@
   request.incarnation = context_->incarnation;
   request.http = context_->place.inner;
   request.members_version = members_version_;
+  request.takes_member_changes = true;
   return request;
 }
 
--- a/src/proxy/config_follower.h
+++ b/src/proxy/config_follower.h
@@ -7,10 +7,16 @@
 
 namespace herontally::proxy {
 
+// What an update from the agent brought.
+struct update_changes {
+  bool configuration = false;
+  bool members = false;
+};
+
 class config_follower : public std::enable_shared_from_this<config_follower> {
  public:
-  // `on_update` is called after each reply; `changed`: it brought a new configuration.
-  using update_handler = std::function<void(const rpc::config_update_reply& reply, bool changed)>;
+  // Called after each reply.
+  using update_handler = std::function<void(const rpc::config_update_reply& reply, update_changes changed)>;
   config_follower(std::shared_ptr<context> shared, update_handler on_update)
       : context_(std::move(shared)), on_update_(std::move(on_update)) {}
   // Runs until the process stops.
@@ -20,7 +26,8 @@
   rpc::config_update_request next_request() const;
   void take(const rpc::config_update_reply& reply, microseconds asked);
   bool take_config(const rpc::config_update_reply& reply);
-  void take_members(const rpc::config_update_reply& reply);
+  // Whether any row changed.
+  bool take_members(const rpc::config_update_reply& reply);
   void update_ranks();
   std::int64_t revision() const { return context_->config ? context_->config->revision : 0; }
 
--- a/src/proxy/context.cc
+++ b/src/proxy/context.cc
@@ -52,11 +52,11 @@
 }
 
 bool context::has_ended(const std::string& owner, std::int64_t proxy_incarnation) const {
-  for (auto& member : members)
-    if (member.name == owner && member.role == rpc::node_role::proxy)
-      return member.incarnation > proxy_incarnation ||
-             (member.incarnation == proxy_incarnation && !member.is_live());
-  return false;
+  auto found = members.find(owner);
+  if (found == members.end() || found->second.role != rpc::node_role::proxy) return false;
+  auto& member = found->second;
+  return member.incarnation > proxy_incarnation ||
+         (member.incarnation == proxy_incarnation && !member.is_live());
 }
 
 planning_context context::planning(std::vector<interning::symbol> avoid, int attempt) const {
--- a/src/proxy/context.h
+++ b/src/proxy/context.h
@@ -80,7 +80,7 @@
   // The configuration in force and how fresh it is, as the agent tells; kept by config_follower.
   std::optional<configuration::snapshot> config;
   microseconds fresh_at = -1;
-  std::vector<rpc::member> members;
+  std::map<std::string, rpc::member> members;  // by name
   proxy_ranks ranks;
 
   std::int64_t incarnation = 0;
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -43,7 +43,7 @@
         calls(std::make_shared<call_handler>(made)),
         ingress(made->platform.adapter ? std::make_shared<platform_ingress>(made) : nullptr),
         follower(std::make_shared<config_follower>(
-            made, [ingress = ingress](const rpc::config_update_reply& reply, bool changed) {
+            made, [ingress = ingress](const rpc::config_update_reply& reply, update_changes changed) {
               if (ingress) ingress->take_update(reply, changed);
             })) {}
 
@@ -67,7 +67,7 @@
     std::vector<std::string> addresses;
     auto here = weak.lock();
     if (!here) return addresses;
-    for (auto& member : here->members)
+    for (auto& [name, member] : here->members)
       if (member.role == rpc::node_role::store && member.is_live()) addresses.push_back(member.inner);
     return addresses;
   });
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -55,13 +55,21 @@
   return std::nullopt;
 }
 
-void platform_ingress::take_update(const rpc::config_update_reply& reply, bool changed) {
+void platform_ingress::take_update(const rpc::config_update_reply& reply, update_changes changed) {
   auto& shared = *context_;
-  if (changed && shared.config && shared.config->routing)
+  if (changed.configuration && shared.config && shared.config->routing)
     router_.set_routing(*shared.config->routing, shared.config->evacuated_zones);
   router_.set_engines(reply.engines, reply.draining_engines);
+  if (changed.configuration || changed.members) update_nodes();
+  // Readiness asks for the view of the stores before any client does.
+  if (shared.stores.current_view().number == 0)
+    shared.runtime.spawn(shared.stores.refresh_view(shared.runtime.now() + second));
+}
+
+void platform_ingress::update_nodes() {
+  auto& shared = *context_;
   std::vector<quota::quota_peer> proxies;
-  for (auto& member : shared.members) {
+  for (auto& [name, member] : shared.members) {
     bool live_proxy = member.role == rpc::node_role::proxy && member.is_live();
     // A proxy's entry is probed at its agent; it is reached itself at the other address.
     if (live_proxy) proxies.push_back({member.name, member.http, member.zone});
@@ -74,9 +82,6 @@
   quotas_.set_peers(std::move(proxies), agreed);
   router_.set_nodes(
       live, {shared.config ? ranks.proxies : 0, ranks.rank, ranks.previous_proxies, ranks.previous_rank});
-  // Readiness asks for the view of the stores before any client does.
-  if (shared.stores.current_view().number == 0)
-    shared.runtime.spawn(shared.stores.refresh_view(shared.runtime.now() + second));
 }
 
 task<> platform_ingress::drain() {
--- a/src/rpc/codec.h
+++ b/src/rpc/codec.h
@@ -20,7 +20,7 @@
 };
 
 // What this code speaks. A node one version older or newer is understood; any other is refused.
-constexpr int protocol_version = 5;
+constexpr int protocol_version = 6;
 
 // The bytes of `value` as a record of the schema as `version` had it.
 std::variant<std::string, codec_error> encode(const std::string& record, const json& value,
--- a/src/rpc/control_messages.h
+++ b/src/rpc/control_messages.h
@@ -33,9 +33,10 @@
   std::vector<std::string> draining_engines;
   // JSON object by edge: how many milliseconds ago it had a revision not above this reply's.
   std::string peer_ages;
+  std::int64_t members_since = 0;  // `members` are the rows that changed since this version; 0: all
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(config_update_reply, revision, config, age_milliseconds, engines_epoch,
                                  engines_sequence, engines, members, engines_age_milliseconds,
-                                 draining_engines, peer_ages, members_version)
+                                 draining_engines, peer_ages, members_version, members_since)
 };
 // A long poll for a newer configuration, engine list or membership.
 struct config_update_request {
@@ -47,9 +48,11 @@
   std::int64_t engines_epoch = 0, engines_sequence = 0;
   std::int64_t wait_milliseconds = 0;  // how long the reply may be held back for an update
   std::int64_t incarnation = 0, members_version = 0;
-  std::string http;  // the proxy's inner address, set only by a proxy that polls its agent
+  std::string http;                   // the proxy's inner address, set only by a proxy that polls its agent
+  bool takes_member_changes = false;  // the sender can merge changed rows into those that it has
   NLOHMANN_DEFINE_TYPE_INTRUSIVE(config_update_request, node, revision, applied_revision, engines_epoch,
-                                 engines_sequence, wait_milliseconds, incarnation, http, members_version)
+                                 engines_sequence, wait_milliseconds, incarnation, http, members_version,
+                                 takes_member_changes)
 };
 
 // An agent tells the cores which revision is in force on its machine.
--- a/tests/control_cost_test.cc
+++ b/tests/control_cost_test.cc
@@ -174,6 +174,56 @@
   REQUIRE_FALSE(ask(own.world, own.endpoint, own.place.inner, request)->members.empty());
 }
 
+// FAULT of issue 37: at any change of any member each proxy was handed all rows anew, and parsed them.
+TEST_CASE("FAULT: a proxy is told the membership rows that changed, and all of them only at first") {
+  one_node own;
+  agent::node agent(own.world.runtime_of("node"), own.place, own.logger());
+  own.start(agent);
+  auto store = [](int number) {
+    rpc::member made;
+    made.name = "store-" + std::to_string(number);
+    made.role = rpc::node_role::store;
+    made.inner = "10.0.1." + std::to_string(number) + ":7000";
+    made.incarnation = 1;
+    return made;
+  };
+  auto learn = [&own](const rpc::member& changed) {
+    ask(own.world, own.endpoint, own.place.inner, rpc::probe_request{"", false, {changed}, 0});
+  };
+  for (int number = 1; number <= 60; ++number) learn(store(number));
+  rpc::config_update_request request;
+  request.node = "proxy";
+  request.http = "10.0.0.2:7000";
+  request.incarnation = 1;
+  request.takes_member_changes = true;
+  ask(own.world, own.endpoint, own.place.inner, request);
+  own.world.run_for(second);
+  auto first = ask(own.world, own.endpoint, own.place.inner, request);
+  REQUIRE(first->members_since == 0);
+  REQUIRE(membership::members_from_text(first->members).size() >= 60);
+  request.members_version = first->members_version;
+  auto lost = store(7);
+  lost.status = rpc::member_status::dead;
+  learn(lost);
+  auto changed = ask(own.world, own.endpoint, own.place.inner, request);
+  REQUIRE(changed->members_since == request.members_version);
+  REQUIRE(changed->members_version > request.members_version);
+  auto rows = membership::members_from_text(changed->members);
+  REQUIRE(rows.size() == 1);
+  REQUIRE(rows.front().name == "store-7");
+  REQUIRE_FALSE(rows.front().is_live());
+  // Who can't merge them, or has a version of another life of the agent, is told all.
+  for (auto version : {std::int64_t(1), changed->members_version + 1000}) {
+    request.members_version = version;
+    auto all = ask(own.world, own.endpoint, own.place.inner, request);
+    REQUIRE(all->members_since == 0);
+    REQUIRE(membership::members_from_text(all->members).size() >= 60);
+  }
+  request.members_version = first->members_version;
+  request.takes_member_changes = false;
+  REQUIRE(ask(own.world, own.endpoint, own.place.inner, request)->members_since == 0);
+}
+
 TEST_CASE("an engine list is confirmed without its text, by a core that has it") {
   one_node own;
   control_node::node core(own.world.runtime_of("node"), own.place, own.logger());
--- a/tests/wire_bytes_test.cc
+++ b/tests/wire_bytes_test.cc
@@ -99,7 +99,7 @@
 }
 
 void add_control(named_bytes& out) {
-  add(out, rpc::config_update_request{"agent-1", 5, 4, 3, 2, 250, 17, 6, "10.0.0.1:9000"});
+  add(out, rpc::config_update_request{"agent-1", 5, 4, 3, 2, 250, 17, 6, "10.0.0.1:9000", true});
   add(out, rpc::config_update_reply{5,
                                     "{\"revision\":5}",
                                     120,
@@ -110,7 +110,8 @@
                                     "[{}]",
                                     40,
                                     {"engine-1", "engine-2"},
-                                    "{\"agent-2\":9}"});
+                                    "{\"agent-2\":9}",
+                                    4});
   add(out, rpc::config_applied_request{"agent-1", 5});
   add(out, rpc::config_applied_reply{rpc::reply_status::ok});
   add(out, rpc::config_committed_request{5, "{\"revision\":5}"});
