--- a/src/quota/tenant_quotas.cc
+++ b/src/quota/tenant_quotas.cc
@@ -60,6 +60,7 @@
   tolerance allowed;
   microseconds started;
   std::vector<quota_peer> proxies;
+  std::unordered_map<std::string, std::vector<quota_peer>> merging;  // by tenant, chosen among `proxies`
   std::int64_t agreed_count = 0;
   std::unordered_map<std::string, limit> limits;  // of the tenants that have a quota
   std::unordered_map<std::string, tenant_usage> usages;
@@ -78,6 +79,7 @@
 
   microseconds now() const { return endpoint.runtime().now(); }
   tenant_usage& usage_of(const std::string& tenant);
+  const std::vector<quota_peer>& merging_peers_of(const std::string& tenant);
   std::int64_t live_count() const { return static_cast<std::int64_t>(proxies.size()); }
   std::int64_t proxy_count() const { return std::max(live_count(), agreed_count); }
   void exchange(const std::string& tenant);
@@ -119,9 +121,15 @@
   endpoint.runtime().spawn(run_link(peer.name));
 }
 
+const std::vector<quota_peer>& tenant_quotas::state::merging_peers_of(const std::string& tenant) {
+  auto [found, inserted] = merging.try_emplace(tenant);
+  if (inserted) found->second = merging_peers(tenant, proxies);
+  return found->second;
+}
+
 void tenant_quotas::state::exchange(const std::string& tenant) {
   asked[tenant] = now();
-  for (auto& peer : merging_peers(tenant, proxies)) {
+  for (auto& peer : merging_peers_of(tenant)) {
     if (peer.name != node) {
       add_to_link(peer, tenant);
       continue;
@@ -258,6 +266,7 @@
 
 void tenant_quotas::set_peers(std::vector<quota_peer> proxies, std::int64_t agreed_count) {
   state_->proxies = std::move(proxies);
+  state_->merging.clear();
   state_->agreed_count = agreed_count;
 }
 
