--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -28,11 +28,22 @@
   (void)program;
 }
 
+struct metric {
+  double value = 0;
+  bool is_counter = false;
+};
+
 struct logger::state {
   std::string node;
   sink out;
-  std::map<std::string, double> values;
-  std::map<std::string, bool> counted;
+  // Looked up by views, so that counting allocates nothing.
+  std::map<std::string, metric, std::less<>> metrics;
+
+  metric& metric_of(std::string_view name) {
+    auto found = metrics.find(name);
+    if (found == metrics.end()) found = metrics.emplace(name, metric{}).first;
+    return found->second;
+  }
 };
 
 logger::logger(std::string node, sink out) : state_(std::make_shared<state>()) {
@@ -67,27 +78,27 @@
   emit(log4cplus::ERROR_LOG_LEVEL, "error", state_->node, state_->out, what, std::move(fields));
 }
 
-void logger::count(const std::string& name, double amount) const {
-  state_->values[name] += amount;
-  state_->counted[name] = true;
+void logger::count(std::string_view name, double amount) const {
+  auto& counter = state_->metric_of(name);
+  counter.value += amount;
+  counter.is_counter = true;
 }
-void logger::gauge(const std::string& name, double value) const { state_->values[name] = value; }
-double logger::value(const std::string& name) const {
-  auto found = state_->values.find(name);
-  return found == state_->values.end() ? 0 : found->second;
+void logger::gauge(std::string_view name, double value) const { state_->metric_of(name).value = value; }
+double logger::value(std::string_view name) const {
+  auto found = state_->metrics.find(name);
+  return found == state_->metrics.end() ? 0 : found->second.value;
 }
 
 std::string logger::metrics() const {
   std::string text;
   std::string family;
-  for (auto& [name, value] : state_->values) {
+  for (auto& [name, sample] : state_->metrics) {
     std::string plain = name.substr(0, name.find('{'));
     // One TYPE line for each family, before its first sample.
-    if (plain != family)
-      text += "# TYPE " + plain + (state_->counted.contains(name) ? " counter\n" : " gauge\n");
+    if (plain != family) text += "# TYPE " + plain + (sample.is_counter ? " counter\n" : " gauge\n");
     family = plain;
     char number[40];
-    snprintf(number, sizeof number, " %.17g\n", value);
+    snprintf(number, sizeof number, " %.17g\n", sample.value);
     text += name + number;
   }
   return text;
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 namespace herontally::logging {
 
@@ -25,9 +26,9 @@
   void error(const std::string& what, json fields = json::object()) const;
 
   // Counters and gauges by name; labels are part of the name, as Prometheus writes them.
-  void count(const std::string& name, double amount = 1) const;
-  void gauge(const std::string& name, double value) const;
-  double value(const std::string& name) const;
+  void count(std::string_view name, double amount = 1) const;
+  void gauge(std::string_view name, double value) const;
+  double value(std::string_view name) const;
   std::string metrics() const;
 
  private:
