Event loop: work without a delay runs without a pass of the loop each

Now such work has a queue of its own, bounded in one turn so that sockets and timers have theirs. A mailbox takes its first value off without moving the others.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <time.h>
 
+#include <deque>
 #include <unordered_map>
 
 #include "runtime/event_loop_parts.h"
@@ -30,6 +31,58 @@
   std::uint64_t next = 1;
 };
 
+struct ready_work {
+  std::uint64_t number = 0;
+  std::function<void()> work;  // empty: it was cancelled
+};
+
+// Work without a delay, such as the waking of tasks. It runs in its order, before the loop asks the kernel
+// for more: a timer for each would cost a pass of the loop and its system calls.
+class ready_queue {
+ public:
+  explicit ready_queue(event_base* base) : base_(base), drain_(event_new(base, -1, 0, on_drain, this)) {}
+  ~ready_queue() { event_free(drain_); }
+  ready_queue(const ready_queue&) = delete;
+
+  void push(std::uint64_t number, std::function<void()> work) {
+    if (queue_.empty() && !draining_) event_active(drain_, EV_TIMEOUT, 0);
+    queue_.push_back({number, std::move(work)});
+  }
+  void cancel(std::uint64_t number) {
+    for (auto& each : queue_)
+      if (each.number == number) each.work = nullptr;
+  }
+  // What the work holds may cancel or queue more as it goes.
+  void clear() {
+    while (!queue_.empty()) {
+      auto dropped = std::exchange(queue_, {});
+    }
+  }
+
+ private:
+  static void on_drain(evutil_socket_t, short, void* raw) { static_cast<ready_queue*>(raw)->drain(); }
+  void drain() {
+    // More waits for the sockets to have their turn.
+    constexpr int max_in_turn = 1000;
+    draining_ = true;
+    bool stopped = false;
+    for (int done = 0; done < max_in_turn && !queue_.empty() && !stopped; ++done) {
+      auto work = std::move(queue_.front().work);
+      queue_.pop_front();
+      if (work) work();
+      stopped = event_base_got_break(base_);
+    }
+    draining_ = false;
+    constexpr timeval at_once{0, 0};
+    if (!queue_.empty()) event_add(drain_, &at_once);
+  }
+
+  event_base* base_;
+  struct event* drain_;
+  std::deque<ready_work> queue_;
+  bool draining_ = false;
+};
+
 struct timer_argument {
   timer_table* table;
   std::uint64_t number;
@@ -48,6 +101,7 @@
 struct event_loop::state {
   event_base* base = nullptr;
   timer_table timers;
+  std::unique_ptr<ready_queue> ready;
   std::shared_ptr<channel_part> channels;
   std::shared_ptr<http_server_part> server;
   std::shared_ptr<http_client_part> client;
@@ -71,20 +125,23 @@
   table.wall = [] { return read_clock(CLOCK_REALTIME); };
 }
 
-static void bind_timers(timer_table* timers, backend& table) {
-  table.after = [timers](microseconds delay, std::function<void()> work) {
+static void bind_timers(timer_table* timers, ready_queue* ready, backend& table) {
+  table.after = [timers, ready](microseconds delay, std::function<void()> work) {
     std::uint64_t number = timers->next++;
+    if (delay <= 0) {
+      ready->push(number, std::move(work));
+      return number;
+    }
     auto* argument = new timer_argument{timers, number};
     auto* alarm = event_new(timers->base, -1, 0, fire, argument);
-    if (delay < 0) delay = 0;
     timeval wait{static_cast<time_t>(delay / second), static_cast<suseconds_t>(delay % second)};
     event_add(alarm, &wait);
     timers->entries[number] = timer_entry{alarm, std::move(work)};
     return number;
   };
-  table.cancel = [timers](std::uint64_t number) {
+  table.cancel = [timers, ready](std::uint64_t number) {
     auto found = timers->entries.find(number);
-    if (found == timers->entries.end()) return;
+    if (found == timers->entries.end()) return ready->cancel(number);
     delete static_cast<timer_argument*>(event_get_callback_arg(found->second.alarm));
     event_free(found->second.alarm);
     timers->entries.erase(found);
@@ -128,7 +185,8 @@
   state_->timers.base = state_->base;
   backend table;
   bind_clocks(table);
-  bind_timers(&state_->timers, table);
+  state_->ready = std::make_unique<ready_queue>(state_->base);
+  bind_timers(&state_->timers, state_->ready.get(), table);
   state_->channels = make_channels(state_->base, table.after, table.cancel);
   state_->server = make_http_server(state_->base);
   state_->client = make_http_client(state_->base, table);
@@ -153,7 +211,9 @@
     event_free(entry.alarm);
   }
   entries.clear();
+  state_->ready->clear();
   state_->runtime.reset();
+  state_->ready.reset();
   event_free(state_->hangup);
   event_free(state_->term);
   event_free(state_->interrupt);
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -1,5 +1,6 @@
 // The handle that node code runs on: clock, timers, tasks, channels, HTTP, disk and seeded randomness.
 #pragma once
+#include <deque>
 #include <random>
 
 #include "runtime/backend.h"
@@ -99,13 +100,13 @@
     }
     if (state->values.empty()) co_return std::nullopt;
     std::optional<T> value(std::move(state->values.front()));
-    state->values.erase(state->values.begin());
+    state->values.pop_front();
     co_return value;
   }
 
  private:
   struct shared {
-    std::vector<T> values;
+    std::deque<T> values;
     std::optional<slot<bool>> notifier;
   };
   handle runtime_;
