Inner messages: the envelope without JSON, Avro values used again

Every message made two JSON values and two generic Avro values, the second of each for the envelope of four fields.

--- a/src/rpc/codec.cc
+++ b/src/rpc/codec.cc
@@ -1,12 +1,8 @@
 #include "rpc/codec.h"
 
-#include <avro.h>
-
-#include <map>
-#include <memory>
 #include <optional>
 
-#include "schema_inner.h"
+#include "rpc/schema_table.h"
 
 namespace herontally::rpc {
 
@@ -15,61 +11,6 @@
 constexpr std::size_t max_depth = 16;
 constexpr std::size_t max_array_length = 200000;
 
-// Garbage names lengths of any size, and avro-c would ask for them before it looks whether so many bytes are
-// there.
-void* allocate(void*, void* old, std::size_t, std::size_t size) {
-  constexpr std::size_t max_allocation = 32u << 20;
-  if (size == 0) {
-    std::free(old);
-    return nullptr;
-  }
-  return size > max_allocation ? nullptr : std::realloc(old, size);
-}
-
-// The schema as one version had it.
-struct schema_table {
-  avro_schema_t all = nullptr;
-  avro_value_iface_t* kind = nullptr;
-  std::map<std::string, int> branches;
-  std::map<std::string, json> defaults;  // of fields that this version lacks, by record
-  explicit schema_table(int version) {
-    avro_set_allocator(allocate, nullptr);
-    json text = json::parse(schema_inner);
-    for (auto& record : text) {
-      json fields = json::array();
-      for (auto& field : record["fields"]) {
-        if (field.value("since", 0) <= version)
-          fields.push_back(field);
-        else
-          defaults[record["name"]][field["name"].get<std::string>()] = field["default"];
-      }
-      record["fields"] = fields;
-    }
-    std::string own = text.dump();
-    // The text is part of the program, so a fault in it is a fault of the build. One class is made of the
-    // whole union, as a record's own class could not follow the names that it takes from its neighbours.
-    if (avro_schema_from_json_length(own.data(), own.size(), &all) != 0) std::abort();
-    kind = avro_generic_class_from_schema(all);
-    if (!kind) std::abort();
-    for (std::size_t branch = 0; branch < avro_schema_union_size(all); ++branch)
-      branches[avro_schema_name(avro_schema_union_branch(all, static_cast<int>(branch)))] =
-          static_cast<int>(branch);
-  }
-  schema_table(const schema_table&) = delete;
-  ~schema_table() {
-    avro_value_iface_decref(kind);
-    avro_schema_decref(all);
-  }
-};
-
-const schema_table& schemas(int version) {
-  static std::map<int, std::unique_ptr<schema_table>> tables;
-  // A newer version than ours is read as far as we know it.
-  auto& table = tables[std::min(version, protocol_version)];
-  if (!table) table = std::make_unique<schema_table>(std::min(version, protocol_version));
-  return *table;
-}
-
 bool write(avro_value_t* out, const json& value);
 
 bool write_record(avro_value_t* out, const json& value) {
@@ -196,48 +137,30 @@
   }
 }
 
-struct scoped_value {
-  avro_value_t whole{}, value{};
-  bool made, usable = false;
-  scoped_value(const schema_table& table, int branch)
-      : made(avro_generic_value_new(table.kind, &whole) == 0) {
-    if (made) usable = avro_value_set_branch(&whole, branch, &value) == 0;
-  }
-  ~scoped_value() {
-    if (made) avro_value_decref(&whole);
-  }
-};
-
 }  // namespace
 
 std::variant<std::string, codec_error> encode(const std::string& record, const json& value, int version) {
-  auto& table = schemas(version);
-  auto found = table.branches.find(record);
-  if (found == table.branches.end()) return codec_error::unknown_record;
-  scoped_value holder(table, found->second);
-  if (!holder.usable || !write(&holder.value, value)) return codec_error::mismatch;
-  std::size_t size = 0;
-  if (avro_value_sizeof(&holder.value, &size) != 0) return codec_error::mismatch;
-  std::string bytes(size, '\0');
-  avro_writer_t writer = avro_writer_memory(bytes.data(), static_cast<std::int64_t>(size));
-  int failed = avro_value_write(writer, &holder.value);
-  avro_writer_free(writer);
-  if (failed) return codec_error::mismatch;
-  return bytes;
+  auto& table = schema_of(version);
+  auto branch = table.branch_of(record);
+  if (!branch) return codec_error::unknown_record;
+  borrowed_value borrowed(table, *branch);
+  if (!borrowed.get() || !write(borrowed.get(), value)) return codec_error::mismatch;
+  auto bytes = bytes_of(borrowed.get());
+  if (!bytes) return codec_error::mismatch;
+  borrowed.give_back(bytes->size());
+  return std::move(*bytes);
 }
 
 std::variant<json, codec_error> decode(const std::string& record, const std::string& bytes, int version) {
-  auto& table = schemas(version);
-  auto found = table.branches.find(record);
-  if (found == table.branches.end()) return codec_error::unknown_record;
-  scoped_value holder(table, found->second);
-  avro_reader_t reader = avro_reader_memory(bytes.data(), static_cast<std::int64_t>(bytes.size()));
-  int failed = holder.usable ? avro_value_read(reader, &holder.value) : 1;
-  avro_reader_free(reader);
+  auto& table = schema_of(version);
+  auto branch = table.branch_of(record);
+  if (!branch) return codec_error::unknown_record;
+  borrowed_value borrowed(table, *branch);
   json out;
-  if (failed || !read(&holder.value, out, 0)) return codec_error::malformed;
-  auto missing = table.defaults.find(record);
-  if (missing != table.defaults.end()) out.update(missing->second);
+  bool readable = borrowed.get() && read_bytes(bytes, borrowed.get()) && read(borrowed.get(), out, 0);
+  if (!readable) return codec_error::malformed;
+  borrowed.give_back(bytes.size());
+  if (auto* missing = table.defaults_of(record)) out.update(*missing);
   return out;
 }
 
--- a/src/rpc/endpoint.cc
+++ b/src/rpc/endpoint.cc
@@ -1,5 +1,7 @@
 #include "rpc/endpoint.h"
 
+#include "rpc/envelope.h"
+
 namespace herontally::rpc {
 
 namespace {
@@ -38,17 +40,14 @@
   cover.body = std::get<std::string>(std::move(encoded));
   // As a version after ours might: something after the fields that we know.
   if (version > protocol_version) cover.body += std::string(3, '\2');
-  auto bytes = encode("envelope", json(cover));
-  if (!std::holds_alternative<std::string>(bytes)) return std::nullopt;
-  return std::get<std::string>(std::move(bytes));
+  return encode_envelope(cover);
 }
 
 std::variant<envelope, drop_reason> unseal(int version, const std::string& bytes) {
-  auto decoded = decode("envelope", bytes);
-  if (!std::holds_alternative<json>(decoded)) return drop_reason::garbage;
-  auto cover = std::get<json>(decoded).get<envelope>();
-  if (cover.version < version - 1 || cover.version > version + 1) return drop_reason::version;
-  return cover;
+  auto cover = decode_envelope(bytes);
+  if (!cover) return drop_reason::garbage;
+  if (cover->version < version - 1 || cover->version > version + 1) return drop_reason::version;
+  return std::move(*cover);
 }
 
 runtime::task<> run_handler(logging::logger logger, int version, std::string sender, registered_handler found,
@@ -82,6 +81,7 @@
   logging::logger logger;
   int version = protocol_version;
   std::map<std::string, registered_handler> handlers;  // by the request's kind
+  std::map<std::string, std::string> asked_metrics;    // names of the counters of requests sent, by kind
 
   // What the handler of this message needs, or why there is none.
   struct incoming {
@@ -89,6 +89,7 @@
     json body;
   };
   std::variant<incoming, drop_reason> open(const std::string& bytes) const;
+  void count_asked(const std::string& kind, std::size_t bytes);
   void drop(drop_reason reason, std::size_t bytes) const;
 };
 
@@ -103,13 +104,20 @@
   return incoming{found->second, std::get<json>(std::move(body))};
 }
 
+void endpoint::state::count_asked(const std::string& kind, std::size_t bytes) {
+  auto [name, inserted] = asked_metrics.try_emplace(kind);
+  if (inserted) name->second = "herontally_inner_asked_total{kind=\"" + kind + "\"}";
+  logger.count(name->second);
+  logger.count("herontally_inner_asked_bytes_total", static_cast<double>(bytes));
+}
+
 void endpoint::state::drop(drop_reason reason, std::size_t bytes) const {
   logger.count(std::string("herontally_inner_dropped_total{reason=\"") + name_of(reason) + "\"}");
   logger.warn("inner message dropped", {{"reason", name_of(reason)}, {"bytes", bytes}});
 }
 
 endpoint::endpoint(runtime::handle runtime, std::string sender, logging::logger logger)
-    : state_(std::make_shared<state>(state{runtime, std::move(sender), logger, protocol_version, {}})) {
+    : state_(std::make_shared<state>(state{runtime, std::move(sender), logger, protocol_version, {}, {}})) {
   // Handlers hold what holds this endpoint: they are let go, so that the ring is broken.
   runtime.on_stop([weak = std::weak_ptr<state>(state_)] {
     if (auto self = weak.lock()) self->handlers.clear();
@@ -154,8 +162,8 @@
     self->logger.error("own message does not fit the schema", {{"kind", request_kind}});
     co_return error::malformed;
   }
-  self->logger.count("herontally_inner_asked_total{kind=\"" + request_kind + "\"}");
-  self->logger.count("herontally_inner_asked_bytes_total", static_cast<double>(sealed->size()));
+  body = nullptr;
+  self->count_asked(request_kind, sealed->size());
   auto result = co_await self->runtime.call(std::move(address), std::move(*sealed), timeout);
   if (auto* failed = std::get_if<runtime::channel_error>(&result)) co_return error_of(*failed);
   auto& bytes = std::get<std::string>(result);
--- a/src/rpc/endpoint.h
+++ b/src/rpc/endpoint.h
@@ -71,6 +71,8 @@
   static runtime::task<json> run(std::function<runtime::task<typename Request::reply>(Request)> handler,
                                  json body) {
     Request request = body.get<Request>();
+    // Not held while the handler waits: a message may be large.
+    body = nullptr;
     typename Request::reply reply = co_await handler(std::move(request));
     co_return json(reply);
   }
