--- a/src/control_node/context.h
+++ b/src/control_node/context.h
@@ -53,6 +53,8 @@
     if (place.speaks > 0) endpoint.set_version(place.speaks);
   }
 
+  std::string learned_text;  // the record that was learned last, as it came
+
   // The newest configuration that this node knows; nothing if it knows none.
   std::optional<configuration::record> current_config() const;
   // Takes a configuration that was read from the register, or that another core announced.
