Stores: commands that wait are bounded in memory, and so are copies that come in

A voter that is refilled takes all writes and all records at once; when its processor time doesn't suffice, commands pile up without a bound, and each pop moved the whole queue, which made it slower still. A profile of such a voter: 17.5% for its view's text, written for every vote and thrown away unless the vote was refused, 9.8% for pops; its memory grew from 9 to 47 MB in some seconds. Now a voter refuses what its queue doesn't hold (8 MB, a quarter of it for finishing what was begun), the view's text is made for refusals only, and a joining voter asks for the next page once what it has is durable.

--- a/src/replica_storage/bucket_owner.cc
+++ b/src/replica_storage/bucket_owner.cc
@@ -15,6 +15,17 @@
 constexpr std::size_t max_batch_bytes = 512 << 10;
 constexpr microseconds no_timeout = -1;
 
+// What a command takes in memory besides its values.
+static std::size_t memory_of(const command& one) {
+  constexpr std::size_t closures_and_waiters = 512;
+  return one.bytes + closures_and_waiters;
+}
+
+void bucket::push(command added) {
+  pending_bytes += memory_of(added);
+  queue.push(std::move(added));
+}
+
 std::optional<std::string> bucket::read(const staged_changes& staged, const std::string& record) const {
   auto found = staged.find(record);
   return found != staged.end() ? found->second : store.read(record);
@@ -63,14 +74,19 @@
 task<> record_store::state::commit_by_urgency(bucket* owned, std::vector<command> commands,
                                               std::size_t bytes) {
   auto self = shared_from_this();
+  std::size_t memory = 0;
   std::vector<command*> urgent, usual;
-  for (auto& each : commands) (each.urgent ? urgent : usual).push_back(&each);
+  for (auto& each : commands) {
+    memory += memory_of(each);
+    (each.urgent ? urgent : usual).push_back(&each);
+  }
   if (owned->store.has_capacity(bytes, false)) {
     urgent.insert(urgent.end(), usual.begin(), usual.end());
     usual.clear();
   }
   if (!urgent.empty()) co_await self->commit_batch(owned, std::move(urgent), true);
   if (!usual.empty()) co_await self->commit_batch(owned, std::move(usual), false);
+  owned->pending_bytes -= memory;
 }
 
 task<> record_store::state::run_owner(bucket* owned) {
@@ -79,6 +95,7 @@
     auto first = co_await owned->queue.pop(no_timeout);
     if (!first) continue;
     if (first->exclusive) {
+      owned->pending_bytes -= memory_of(*first);
       co_await first->exclusive();
       continue;
     }
@@ -91,6 +108,7 @@
            !exclusive) {
       auto next = co_await owned->queue.pop(0);
       if (next && next->exclusive) {
+        owned->pending_bytes -= memory_of(*next);
         exclusive = std::move(next);
       } else if (next) {
         bytes += next->bytes;
--- a/src/replica_storage/record_store.cc
+++ b/src/replica_storage/record_store.cc
@@ -141,7 +141,7 @@
       bool done = co_await self->reset_bucket(owned, identity);
       finished.set(done);
     };
-    owned->queue.push(std::move(reset));
+    owned->push(std::move(reset));
     bool done = co_await finished.wait();
     all = all && done;
   }
@@ -194,6 +194,14 @@
 std::vector<std::unique_ptr<bucket>>& record_store::buckets() { return state_->buckets; }
 const std::vector<std::unique_ptr<bucket>>& record_store::buckets() const { return state_->buckets; }
 
+bool record_store::may_queue(std::size_t bytes, bool urgent) const {
+  constexpr std::size_t percent_of_new_work = 75;
+  std::size_t pending = bytes;
+  for (auto& each : state_->buckets) pending += each->pending_bytes;
+  auto limit = state_->options.max_pending_bytes;
+  return pending <= (urgent ? limit : limit * percent_of_new_work / 100);
+}
+
 std::optional<std::string> record_store::read(const std::string& record) const {
   return state_->bucket_of(record).read({}, record);
 }
@@ -223,7 +231,7 @@
       staged[record] = value;
       return [done](commit_result result) { done.set(result == commit_result::durable); };
     };
-    each->queue.push(std::move(put));
+    each->push(std::move(put));
     waits.push_back(done);
   }
   co_return co_await all_set(std::move(waits));
@@ -241,7 +249,7 @@
       staged[record] = std::nullopt;
       return [done](commit_result result) { done.set(result == commit_result::durable); };
     };
-    self->bucket_of(record).queue.push(std::move(removal));
+    self->bucket_of(record).push(std::move(removal));
     waits.push_back(done);
   }
   co_return co_await all_set(std::move(waits));
@@ -265,7 +273,7 @@
       if (removed) staged[record] = std::nullopt;
       return [done, removed](commit_result result) { done.set(removed && result == commit_result::durable); };
     };
-    owner.queue.push(std::move(removal));
+    owner.push(std::move(removal));
     waits.push_back(done);
   }
   int removed = 0;
--- a/src/replica_storage/record_store.h
+++ b/src/replica_storage/record_store.h
@@ -36,8 +36,10 @@
   runtime::mailbox<command> queue;
   runtime::microseconds last_commit = 0;
   std::size_t turn_bytes_written = 0;  // since kept turns go into this bucket
+  std::size_t pending_bytes = 0;       // of the commands that aren't completed yet
 
   bucket(storage::log_store from, runtime::handle runtime) : store(std::move(from)), queue(runtime) {}
+  void push(command added);
   // The record as the batch leaves it.
   std::optional<std::string> read(const staged_changes& staged, const std::string& record) const;
   // The same, without reading the disk.
@@ -48,6 +50,8 @@
   std::string group;  // file names begin with it
   int bucket_count = 4;
   std::int64_t limit_bytes = 256 << 20;  // of all buckets together
+  // Commands that wait for their turn or for the disk hold their values in memory.
+  std::size_t max_pending_bytes = 8 << 20;
   // A number kept in memory beside each record, for `for_each_attribute`.
   std::function<std::int64_t(const std::string& record, std::string_view bytes)> attribute;
 };
@@ -71,6 +75,9 @@
   // Removes everything and stores this identity in every bucket. Also before `start`.
   runtime::task<bool> reset(std::string identity);
 
+  // Whether a command of so many bytes may be queued. Work that finishes what was begun has a reserve.
+  bool may_queue(std::size_t bytes, bool urgent) const;
+
   std::optional<std::string> read(const std::string& record) const;
   bool contains(const std::string& record) const;
   // Whether there is no record but the voter's own.
--- a/src/replication/acceptor.cc
+++ b/src/replication/acceptor.cc
@@ -53,8 +53,15 @@
   // Only the view that this voter has installed counts: whoever has another one gets it in the reply.
   bool other_view = request.view != self.current_view.number && !broken("view");
   if (reply.status == reply_status::none && other_view) reply.status = reply_status::view_mismatch;
-  if (!self.current_view.voters.empty()) reply.view = to_text(self.current_view);
   if (!self.serving()) reply.status = reply_status::failed;
+  bool refused = reply.status != reply_status::none;
+  if (refused && !self.current_view.voters.empty()) reply.view = to_text(self.current_view);
+}
+
+// More than the disk keeps up with is refused at once: the others make a quorum, and repair brings the rest.
+reply_status refuse_overloaded(const replica& self) {
+  self.endpoint.logger().count("herontally_store_overload_refused_total");
+  return reply_status::failed;
 }
 
 // The acceptor's decision on one cell. True when it changed.
@@ -82,9 +89,14 @@
   rpc::vote_reply reply;
   check_vote(*self, request, reply);
   if (reply.status != reply_status::none) co_return reply;
-  reply.view.clear();
   std::string record = replica_storage::register_record(request.key);
   auto& bucket = self->records.bucket_of(record);
+  std::size_t command_bytes =
+      2 * record.size() + request.value.size() + cell_overhead_bytes + bucket.store.value_bytes(record);
+  if (!self->records.may_queue(command_bytes, request.urgent)) {
+    reply.status = refuse_overloaded(*self);
+    co_return reply;
+  }
   bool is_new_work = request.phase == vote_phase::prepare && !request.urgent;
   if (is_new_work && !bucket.store.has_capacity(capacity_for_accept, false)) {
     self->endpoint.logger().count("herontally_disk_full_total");
@@ -94,8 +106,7 @@
   runtime::slot<rpc::vote_reply> done(self->endpoint.runtime());
   command ballot;
   ballot.urgent = request.urgent;
-  ballot.bytes =
-      2 * record.size() + request.value.size() + cell_overhead_bytes + bucket.store.value_bytes(record);
+  ballot.bytes = command_bytes;
   ballot.apply = [self, &bucket, record, request, reply, done](staged_changes& staged) mutable {
     auto bytes = bucket.read(staged, record);
     cell content = bytes ? replica_storage::unpack_cell(*bytes) : cell{};
@@ -118,7 +129,7 @@
       done.set(reply);
     };
   };
-  bucket.queue.push(std::move(ballot));
+  bucket.push(std::move(ballot));
   co_return co_await done.wait();
 }
 
@@ -130,6 +141,10 @@
     reply.status = reply_status::view_mismatch;
   if (reply.status != reply_status::none) co_return reply;
   std::string record = replica_storage::content_record(request.digest);
+  if (!self->records.may_queue(record.size() + request.body.size(), request.urgent)) {
+    reply.status = refuse_overloaded(*self);
+    co_return reply;
+  }
   auto& bucket = self->records.bucket_for_write(record, request.body.size());
   runtime::slot<reply_status> done(self->endpoint.runtime());
   command put;
@@ -145,7 +160,7 @@
       done.set(refused ? reply_status::view_mismatch : status_of(result));
     };
   };
-  bucket.queue.push(std::move(put));
+  bucket.push(std::move(put));
   reply.status = co_await done.wait();
   co_return reply;
 }
--- a/src/replication/catch_up.cc
+++ b/src/replication/catch_up.cc
@@ -26,6 +26,8 @@
 // Before records that another source is bringing are looked at again.
 constexpr microseconds deferred_pause = 50 * millisecond;
 constexpr std::int64_t listed_at_once = 1000;
+// Of copies that aren't durable yet; with more, the next page waits for them.
+constexpr std::size_t max_waiting_bytes = 512 << 10;
 
 // Takes a copy of a register into our cell, by the acceptor's rule. False when a promise of ours stands
 // against it.
@@ -40,6 +42,15 @@
   return !refused;
 }
 
+task<bool> all_durable(std::vector<runtime::slot<bool>> waits) {
+  bool all = true;
+  for (auto& wait : waits) {
+    bool durable = co_await wait.wait();
+    all = all && durable;
+  }
+  co_return all;
+}
+
 }  // namespace
 
 runtime::slot<bool> catch_up::take_copy(const std::string& record, std::string bytes,
@@ -61,7 +72,7 @@
     }
     return [done](commit_result result) { done.set(result == commit_result::durable); };
   };
-  bucket.queue.push(std::move(take));
+  bucket.push(std::move(take));
   return done;
 }
 
@@ -87,7 +98,8 @@
   auto self = shared_from_this();
   auto logger = self->replica_->endpoint.logger();
   std::vector<runtime::slot<bool>> waits;
-  std::size_t deferred = 0;
+  std::size_t deferred = 0, waiting_bytes = 0;
+  bool all = true;
   std::vector<std::string> page;
   while (!records.empty() || !page.empty()) {
     if (page.empty()) {
@@ -104,17 +116,19 @@
     logger.count("herontally_catch_up_records_total", static_cast<double>(fetched));
     for (std::size_t position = 0; position < fetched; ++position) {
       auto& value = reply->values[position];
+      waiting_bytes += value.size();
       // Removed since it was listed: nobody needs it any more.
       if (!value.empty()) waits.push_back(self->take_copy(page[position], std::move(value), refused));
     }
+    if (waiting_bytes > max_waiting_bytes) {
+      bool durable = co_await all_durable(std::exchange(waits, {}));
+      all = all && durable;
+      waiting_bytes = 0;
+    }
     page.erase(page.begin(), page.begin() + static_cast<std::ptrdiff_t>(fetched));
   }
-  bool all = true;
-  for (auto& wait : waits) {
-    bool durable = co_await wait.wait();
-    all = all && durable;
-  }
-  if (!all) co_return std::nullopt;
+  bool durable = co_await all_durable(std::move(waits));
+  if (!all || !durable) co_return std::nullopt;
   co_return deferred;
 }
 
