--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -39,7 +39,7 @@
       bool other = found != entries.end() && found->second.member.inner != self.inner;
       if (other && found->second.member.is_live()) return found->second.member;
     }
-    visited += entries.size();
+    examined += entries.size();
     for (auto& [name, each] : entries) probe_order.push_back(name);
     std::shuffle(probe_order.begin(), probe_order.end(), endpoint.runtime().random());
   }
@@ -126,7 +126,7 @@
       next_full = now + (now - begun < newcomer_time ? newcomer_full_probe_period : full_probe_period);
       co_await here->probe_someone_fully(target);
     }
-    here->report_visits();
+    here->count_examined();
     auto drawn = static_cast<microseconds>(runtime.draw(jitter));
     co_await runtime.sleep(here->options.period - jitter / 2 + drawn);
   }
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -146,7 +146,7 @@
   auto now = endpoint.runtime().now();
   std::vector<member> dead;
   std::vector<std::string> forgotten;
-  visited += not_alive.size();
+  examined += not_alive.size();
   for (auto& name : not_alive) {
     auto& known = entries.at(name);
     auto age = now - known.since;
@@ -162,9 +162,9 @@
 
 std::int64_t member_list::state::checksum() const { return static_cast<std::int64_t>(live_checksum | 1); }
 
-void member_list::state::report_visits() const {
-  endpoint.logger().count("herontally_member_entries_visited_total", static_cast<double>(visited));
-  visited = 0;
+void member_list::state::count_examined() const {
+  endpoint.logger().count("herontally_member_entries_examined_total", static_cast<double>(examined));
+  examined = 0;
 }
 
 // With more members an update has to be passed on more often, also one that had spread far enough among
@@ -173,13 +173,13 @@
   int times = times_to_send(entries.size());
   if (times <= max_times_sent) return;
   max_times_sent = times;
-  visited += entries.size();
+  examined += entries.size();
   for (auto& [name, each] : entries)
     if (each.times_sent < times) pending.insert({each.times_sent, name});
 }
 
 std::vector<member> member_list::state::all_updates() {
-  visited += entries.size();
+  examined += entries.size();
   std::vector<member> updates;
   pending.clear();
   for (auto& [name, each] : entries) {
@@ -196,7 +196,7 @@
   std::vector<pending_update> chosen;
   for (auto next = pending.begin(); next != pending.end() && chosen.size() < max_updates_per_message; ++next)
     chosen.push_back(*next);
-  visited += chosen.size();
+  examined += chosen.size();
   std::vector<member> updates;
   for (auto& each : chosen) {
     auto& known = entries.at(each.name);
@@ -221,7 +221,7 @@
     auto& name = names[endpoint.runtime().draw(names.size())];
     bool other = name != self.name && name != except;
     if (other && !not_alive.contains(name)) drawn.insert(name);
-    ++visited;
+    ++examined;
   }
   std::vector<std::string> addresses;
   for (auto& name : drawn) addresses.push_back(entries.at(name).member.inner);
--- a/src/membership/member_list_state.h
+++ b/src/membership/member_list_state.h
@@ -53,8 +53,8 @@
   std::function<void(const rpc::member&)> on_change;
   bool leaving = false;
   std::int64_t first_version = 0, version = 0;
-  // Entries that the periodic work has gone through since `report_visits`.
-  mutable std::size_t visited = 0;
+  // Entries that the periodic work has gone through since `count_examined`.
+  mutable std::size_t examined = 0;
 
   state(rpc::endpoint from, rpc::member own, std::vector<std::string> given_seeds, probe_options given)
       : endpoint(std::move(from)), self(std::move(own)), seeds(std::move(given_seeds)), options(given) {}
@@ -74,8 +74,8 @@
   // Over the live members. The others are left out: nodes forget them at different times. Never 0, which
   // stands for no checksum; peers compare theirs with it.
   std::int64_t checksum() const;
-  // Adds what was visited to the metric of that name.
-  void report_visits() const;
+  // Adds what was examined to the metric of that name.
+  void count_examined() const;
   // What to tell another node: all members, or those whose updates have spread least.
   std::vector<rpc::member> choose_updates(bool full);
 
--- a/src/runtime/resource_report.cc
+++ b/src/runtime/resource_report.cc
@@ -30,7 +30,7 @@
       {"bytes_sent", "herontally_inner_asked_bytes_total"},
       {"messages_served", "herontally_inner_messages_total"},
       {"bytes_served", "herontally_inner_bytes_total"},
-      {"member_entries_visited", "herontally_member_entries_visited_total"},
+      {"member_entries_examined", "herontally_member_entries_examined_total"},
       {"member_rows_sent", "herontally_member_rows_sent_total"},
       {"records_caught_up", "herontally_catch_up_records_total"},
   };
--- a/src/runtime/resource_report.h
+++ b/src/runtime/resource_report.h
@@ -1,5 +1,5 @@
-// What a process pays: a log line at fixed intervals, and gauges, with its processor time, its peak memory and
-// the work that the time goes to.
+// What a process pays: a log line at fixed intervals, and gauges, with its processor time, its peak memory
+// and the work that the time goes to.
 #pragma once
 #include "logging/logging.h"
 #include "runtime/runtime.h"
--- a/tests/control_cost_test.cc
+++ b/tests/control_cost_test.cc
@@ -118,9 +118,9 @@
 // FAULT of issue 37: days of the large sites were given up for their processor time.
 TEST_CASE("FAULT: what a node pays for the membership at rest doesn't grow with the fleet") {
   constexpr double most_growth = 1.5;
-  auto visits_a_second = [](int nodes) {
+  auto examined_a_second = [](int nodes) {
     constexpr double seconds = 10;
-    const std::string counter = "herontally_member_entries_visited_total";
+    const std::string counter = "herontally_member_entries_examined_total";
     table_fleet site(nodes, [](int) { return 0; });
     REQUIRE(site.world.run_until([&] { return site.agree(static_cast<std::size_t>(nodes)); }, 5 * second));
     site.world.run_for(20 * second);
@@ -128,8 +128,8 @@
     site.world.run_for(10 * second);
     return (site.total(counter) - before) / seconds / nodes;
   };
-  double few = visits_a_second(30), many = visits_a_second(240);
-  INFO("entries visited a second by one node: " << few << " of 30, " << many << " of 240");
+  double few = examined_a_second(30), many = examined_a_second(240);
+  INFO("entries examined a second by one node: " << few << " of 30, " << many << " of 240");
   REQUIRE(many > 0);
   REQUIRE(many <= few * most_growth);
 }
