--- a/src/replica_storage/record_store.cc
+++ b/src/replica_storage/record_store.cc
@@ -196,10 +196,12 @@
 
 bool record_store::may_queue(std::size_t bytes, bool urgent) const {
   constexpr std::size_t percent_of_new_work = 75;
-  std::size_t pending = bytes;
+  std::size_t pending = 0;
   for (auto& each : state_->buckets) pending += each->pending_bytes;
+  // A value that alone is larger than the limit has to be taken some time.
+  if (pending == 0) return true;
   auto limit = state_->options.max_pending_bytes;
-  return pending <= (urgent ? limit : limit * percent_of_new_work / 100);
+  return pending + bytes <= (urgent ? limit : limit * percent_of_new_work / 100);
 }
 
 std::optional<std::string> record_store::read(const std::string& record) const {
