control_test: the machine that takes a retired one's copies doesn't answer while 'rolling' is read

The case read 'rolling' some 100 ms after the call and relied on the next review coming later. Frozen, the receiving machine can't have caught up, so that 'rolling' is the only right answer: the check is as strict, and no longer a matter of the draw.

--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -143,9 +143,12 @@
   CHECK(site.status("c1", "GET", "/-/retire/s9/read") == 404);
   site.boot_store("s4");
   site.world.run_for(3 * second);
+  // A machine that doesn't answer can't take the copies, however soon the move begins.
+  site.world.freeze("s4");
   CHECK(site.status("c2", "POST", "/-/retire/s1/begin", "{\"over_s\":10}") == 200);
   CHECK(site.status("c3", "POST", "/-/retire/s1/begin", "{\"over_s\":10}") == 200);
   CHECK(site.ask("c1", "GET", "/-/retire/s1/read").body == "{\"phase\":\"rolling\"}");
+  site.world.wake("s4");
   CHECK(site.world.run_until(
       [&] {
         site.world.run_for(500 * millisecond);
