--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "runtime/frame_pool.h"
+
 namespace herontally::runtime {
 
 struct resume_continuation {
@@ -41,7 +43,7 @@
 template <class T = void>
 class [[nodiscard]] task {
  public:
-  struct promise_type {
+  struct promise_type : pooled_frame {
     std::coroutine_handle<> continuation;
     std::optional<T> value;
     task get_return_object() { return task(std::coroutine_handle<promise_type>::from_promise(*this)); }
@@ -65,7 +67,7 @@
 template <>
 class [[nodiscard]] task<void> {
  public:
-  struct promise_type {
+  struct promise_type : pooled_frame {
     std::coroutine_handle<> continuation;
     task get_return_object() { return task(std::coroutine_handle<promise_type>::from_promise(*this)); }
     std::suspend_always initial_suspend() noexcept { return {}; }
