--- a/tests/rpc_codec_test.cc
+++ b/tests/rpc_codec_test.cc
@@ -105,6 +105,25 @@
 
 TEST_CASE("the version next to this one is read both ways") {
   constexpr int older = rpc::protocol_version - 1;
+  rpc::config_update_reply reply;
+  reply.revision = 7;
+  reply.members = "[]";
+  reply.members_version = 9;
+  reply.members_since = 8;
+  auto bytes = std::get<std::string>(rpc::encode("news_receipt", reply, older));
+  auto read =
+      std::get<nlohmann::json>(rpc::decode("news_receipt", bytes, older)).get<rpc::config_update_reply>();
+  REQUIRE(read.members_version == 9);
+  REQUIRE(read.members_since == 0);
+  REQUIRE(std::holds_alternative<rpc::codec_error>(rpc::decode("news_receipt", bytes)));
+  auto whole = std::get<std::string>(rpc::encode("news_receipt", reply));
+  auto front =
+      std::get<nlohmann::json>(rpc::decode("news_receipt", whole, older)).get<rpc::config_update_reply>();
+  REQUIRE(front.members == reply.members);
+}
+
+TEST_CASE("a record without the field that came with version 5 is read both ways") {
+  constexpr int older = 4;
   rpc::list_records_reply listed;
   listed.status = rpc::reply_status::ok;
   listed.keys = {"k/a"};
