--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -236,6 +236,7 @@
     ++examined;
   }
   std::vector<std::string> addresses;
+  addresses.reserve(drawn.size());
   for (auto& name : drawn) addresses.push_back(entries.at(name).member.inner);
   return addresses;
 }
--- a/src/runtime/frame_pool.h
+++ b/src/runtime/frame_pool.h
@@ -21,7 +21,7 @@
   static void* allocate(std::size_t bytes) {
     auto number = class_of(bytes);
     if (number >= class_count) return ::operator new(bytes);
-    auto& list = lists_[number];
+    auto& list = lists[number];
     if (!list.first) return ::operator new((number + 1) * class_bytes);
     auto* block = list.first;
     list.first = block->next;
@@ -30,8 +30,8 @@
   }
   static void release(void* frame, std::size_t bytes) {
     auto number = class_of(bytes);
-    if (number >= class_count || lists_[number].length >= max_free_blocks) return ::operator delete(frame);
-    auto& list = lists_[number];
+    if (number >= class_count || lists[number].length >= max_free_blocks) return ::operator delete(frame);
+    auto& list = lists[number];
     list.first = new (frame) free_frames::block{list.first};
     ++list.length;
   }
@@ -40,7 +40,7 @@
   static constexpr std::size_t class_bytes = 64, class_count = 64, max_free_blocks = 16;
   static constexpr std::size_t class_of(std::size_t bytes) { return (bytes - 1) / class_bytes; }
 
-  static inline std::array<free_frames, class_count> lists_{};
+  static inline std::array<free_frames, class_count> lists{};
 };
 
 // A base of promises, whose coroutines' frames then come from the pool. Builds with a sanitizer use the heap,
