--- a/src/runtime/resource_report.cc
+++ b/src/runtime/resource_report.cc
@@ -47,7 +47,8 @@
       counter.last = value;
     }
     logger.gauge("herontally_peak_resident_kilobytes", static_cast<double>(use.peak_kilobytes));
-    logger.gauge("herontally_processor_milliseconds", static_cast<double>(use.processor_time / millisecond));
+    logger.gauge("herontally_processor_milliseconds",
+                 static_cast<double>(use.processor_time) / static_cast<double>(millisecond));
     logger.info("resources", std::move(fields));
   }
 }
