--- a/src/control_node/group_founder.cc
+++ b/src/control_node/group_founder.cc
@@ -54,7 +54,8 @@
                                                      shared->runtime.now() + found_timeout);
   if (auto* first = std::get_if<view>(&begun)) {
     shared->catalog.learn(*first);
-    shared->logger.info("core group founded", {{"voters", first->voters.size()}});
+    shared->logger.info("core group founded",
+                        {{"voters", first->voters.size()}, {"needed", budget_of(shared->place).voters()}});
     co_return;
   }
   // Others have a view that isn't ours: this core is let in like any newcomer.
@@ -151,7 +152,8 @@
                                                  reconfiguration::first_view_if_none(first),
                                                  shared->runtime.now() + write_timeout, true);
   if (!written.value) co_return std::nullopt;
-  shared->logger.info("storage group founded", {{"voters", voters.size()}});
+  shared->logger.info("storage group founded",
+                      {{"voters", voters.size()}, {"needed", budget_of(shared->place).voters()}});
   co_return consensus::view_from_text(*written.value);
 }
 
--- /dev/null
+++ b/src/control_node/shortfall_report.cc
@@ -0,0 +1,27 @@
+#include "control_node/shortfall_report.h"
+
+namespace herontally::control_node {
+
+void shortfall_report::set_gauge(const char* name, std::size_t value) const {
+  logger_.gauge(std::string(name) + "{group=\"" + group_ + "\"}", static_cast<double>(value));
+}
+
+void shortfall_report::take(const std::vector<consensus::voter_info>& voters) {
+  auto shortfall = shortfall_of(voters, budget_);
+  set_gauge("herontally_voters_needed", budget_.voters());
+  set_gauge("herontally_voters_lacking", shortfall.voters);
+  set_gauge("herontally_voters_crowded", shortfall.crowded);
+  if (reported_ == shortfall) return;
+  reported_ = shortfall;
+  if (shortfall == voter_shortfall{}) {
+    logger_.info("a group of voters can bear all losses that it should", {{"group", group_}});
+    return;
+  }
+  logger_.warn("a group of voters can't bear all losses that it should", {{"group", group_},
+                                                                          {"voters", voters.size()},
+                                                                          {"needed", budget_.voters()},
+                                                                          {"lacking", shortfall.voters},
+                                                                          {"crowded", shortfall.crowded}});
+}
+
+}  // namespace herontally::control_node
--- a/src/control_node/voter_group_manager.cc
+++ b/src/control_node/voter_group_manager.cc
@@ -42,8 +42,6 @@
 
 }  // namespace
 
-loss_budget budget_of(const settings::settings& place) { return {place.machine_losses, place.zone_losses}; }
-
 // Lost are those that the membership has given up, over several nodes' probes, and that don't answer this
 // node; and those whose machine answers under another identity: its disk was lost.
 task<voter_observation> voter_group_manager::observe(voter_info voter, bool retiring) {
@@ -159,22 +157,25 @@
   for (int round = 0; round < planning_rounds; ++round) {
     plan->wanted = plan_voters(agreed, observed, plan->spares, budget_of(self->context_->place));
     bool again = co_await self->identify_chosen(plan, agreed);
-    if (!again) co_return plan->wanted;
+    if (again) continue;
+    if (consensus::same_voters(plan->wanted, agreed.voters)) self->report_lost(observed);
+    co_return plan->wanted;
   }
   co_return std::nullopt;
 }
 
-// One warning for each way in which a group falls short, and gauges to go with it.
-void voter_group_manager::report_shortfall(const view& agreed) {
+// Lost voters that are still in the view when the group is reviewed again have found no spare. One warning
+// for each set of them.
+void voter_group_manager::report_lost(const std::vector<voter_observation>& observed) {
+  std::vector<std::string> lost;
+  for (auto& seen : observed)
+    if (seen.condition == voter_condition::lost) lost.push_back(seen.voter.node);
   auto& logger = context_->logger;
-  auto shortfall = shortfall_of(agreed.voters, budget_of(context_->place));
-  logger.gauge("herontally_voters_lacking{group=\"" + name_ + "\"}", static_cast<double>(shortfall.voters));
-  logger.gauge("herontally_voters_crowded{group=\"" + name_ + "\"}", static_cast<double>(shortfall.crowded));
-  if (reported_ == shortfall) return;
-  reported_ = shortfall;
-  if (shortfall == voter_shortfall{}) return;
-  logger.warn("a group of voters can't bear all losses that it should",
-              {{"group", name_}, {"lacking", shortfall.voters}, {"crowded", shortfall.crowded}});
+  logger.gauge("herontally_voters_lost{group=\"" + name_ + "\"}", static_cast<double>(lost.size()));
+  if (lost == reported_lost_) return;
+  reported_lost_ = lost;
+  if (!lost.empty())
+    logger.warn("voters are lost and no spare has taken their place", {{"group", name_}, {"nodes", lost}});
 }
 
 task<bool> voter_group_manager::begin_move(view agreed, std::vector<voter_info> wanted) {
@@ -216,13 +217,12 @@
                                                       shared->runtime.now() + agreement_timeout);
   if (!agreed || agreed->number == 0) co_return;
   if (self->group_.current_view().number == 0) self->group_.learn(*agreed);
+  // Before any move, so that a group that was founded too small is reported at once.
+  self->shortfall_.take(agreed->voters);
   auto wanted = co_await self->plan(*agreed);
   bool other = wanted && !wanted->empty() && !consensus::same_voters(*wanted, agreed->voters);
   bool settled = !agreed->joint() && agreed->number <= self->group_.current_view().number;
-  if (!other && settled) {
-    self->report_shortfall(*agreed);
-    co_return;
-  }
+  if (!other && settled) co_return;
   if (other) {
     bool begun = co_await self->begin_move(*agreed, *wanted);
     if (!begun) co_return;
--- a/src/control_node/voter_group_manager.h
+++ b/src/control_node/voter_group_manager.h
@@ -4,6 +4,7 @@
 // Each group has a manager and a task of its own, so that a move of one that can't go on holds up nothing of
 // the other. Decisions are made in voter_plan.h, without any I/O.
 #pragma once
+#include "control_node/shortfall_report.h"
 #include "control_node/storage_directory.h"
 #include "control_node/voter_plan.h"
 
@@ -31,7 +32,8 @@
         group_(std::move(group)),
         name_(std::move(name)),
         role_(role),
-        directory_(std::move(directory)) {}
+        directory_(std::move(directory)),
+        shortfall_(context_->logger, name_, budget_of(context_->place)) {}
   // Reviews the group on the node that owns the role, until the process stops.
   task<> run();
 
@@ -53,7 +55,7 @@
   std::vector<voter_info> possible_spares(const std::vector<voter_observation>& observed) const;
   std::set<std::string> retiring_nodes() const;
   task<> dismiss(voter_info voter, view agreed);
-  void report_shortfall(const view& agreed);
+  void report_lost(const std::vector<voter_observation>& observed);
   // `agreed`: the view from which the move was to begin.
   void report_refusal(const view& agreed, reconfiguration::move_error why) const;
   bool is_owner() const { return context_->voter_groups_role.is_owner() && !context_->leaving; }
@@ -64,10 +66,9 @@
   rpc::node_role role_;
   std::shared_ptr<storage_directory> directory_;
   std::map<std::string, microseconds> silent_since_;  // by voter; 0: it answered, or its node lives
-  voter_shortfall reported_;
+  shortfall_report shortfall_;
+  std::vector<std::string> reported_lost_;  // nodes of lost voters that no spare has replaced
 };
 
 // The losses that this site's groups have to bear at once.
-loss_budget budget_of(const settings::settings& place);
-
 }  // namespace herontally::control_node
--- a/src/control_node/voter_plan.cc
+++ b/src/control_node/voter_plan.cc
@@ -71,6 +71,8 @@
 
 }  // namespace
 
+loss_budget budget_of(const settings::settings& place) { return {place.machine_losses, place.zone_losses}; }
+
 std::size_t zone_limit(std::size_t size, const loss_budget& budget) {
   if (size == 0 || budget.zones <= 0) return size;
   return std::max<std::size_t>(1, (size - 1) / 2 / static_cast<std::size_t>(budget.zones));
--- a/src/control_node/voter_plan.h
+++ b/src/control_node/voter_plan.h
@@ -1,6 +1,7 @@
 // Which machines should vote in a register group: a plan made from what is known, without any I/O.
 #pragma once
 #include "consensus/view.h"
+#include "settings/settings.h"
 
 namespace herontally::control_node {
 
@@ -12,6 +13,9 @@
   std::size_t voters() const { return static_cast<std::size_t>(2 * machines + 1); }
 };
 
+// What this deployment has to bear by its settings.
+loss_budget budget_of(const settings::settings& place);
+
 enum class voter_condition {
   present,  // it answers under its identity, or has been silent for a short time only
   lost,     // given up by the membership, or its disk came back empty
--- a/src/simulator/control_oracle.cc
+++ b/src/simulator/control_oracle.cc
@@ -84,8 +84,14 @@
   }
   bool spare = well > present;
   if (!lost.empty() && spare) return number + " lacks" + lost;
-  if (agreed.voters.size() < budget.voters() && well >= budget.voters())
-    return number + " has " + std::to_string(agreed.voters.size()) + " voters";
+  auto lacking = ht::control_node::shortfall_of(agreed.voters, budget);
+  // With every machine well the group is as large as it will ever be.
+  bool complete = all_well(machines);
+  if (lacking.voters > 0 && (well >= budget.voters() || complete))
+    return number + " has " + std::to_string(agreed.voters.size()) + " voters of " +
+           std::to_string(budget.voters());
+  if (lacking.crowded > 0 && complete)
+    return number + " has " + std::to_string(lacking.crowded) + " voters too many in a zone";
   return "";
 }
 
--- a/src/simulator/control_oracle.h
+++ b/src/simulator/control_oracle.h
@@ -5,8 +5,9 @@
 // - WHOLE: while no machine goes or comes and enough of them are up and in touch, each group of voters is
 // whole
 //   within control_node::repair_bound(): its view is no joint one, each of its voters runs under the identity
-//   that the view names, and it has as many voters as the losses to be borne ask for. A lost voter counts
-//   only where a machine is there to take its place.
+//   that the view names, and it has as many voters as the losses to be borne ask for, spread over the zones
+//   as they ask. A lost voter counts only where a machine is there to take its place. A site that has too few
+//   machines for the losses that it claims to bear breaks the rule with all of them up.
 // - ROLE: the owner of a singleton role that was superseded learns of it within
 //   control_node::supersession_bound(), and doesn't go on under an epoch that a receiver has refused.
 //
--- a/tests/control_site_fixture.h
+++ b/tests/control_site_fixture.h
@@ -18,6 +18,8 @@
   std::shared_ptr<platform_protocol::adapter> words = std::make_shared<platform_protocol::adapter>();
   std::map<std::string, std::vector<std::string>> lines;  // what each node logged, over all its lives
   std::vector<std::string> asked;                         // of the platform's list
+  std::map<std::string, logging::logger> loggers;         // of each node's newest life
+  std::int64_t machine_losses = 1;                        // that the groups have to bear
   json page_two = json::array();
   int list_status = 200;
 
@@ -53,9 +55,11 @@
     place.data = "data";
     place.platform = "10.0.2.1:80";
     place.founding = founding;
+    place.machine_losses = machine_losses;
     place.list_rate = 40;
     logging::logger logger(
         name, [this, name](const std::string&, const json& line) { lines[name].push_back(line["event"]); });
+    loggers.insert_or_assign(name, logger);
     auto node = std::make_shared<Node>(world.runtime_of(name), place, logger, more...);
     world.find(name).node = node;
     world.runtime_of(name).spawn(
@@ -76,6 +80,12 @@
       count += static_cast<int>(std::count(events.begin(), events.end(), event));
     return count;
   }
+  // The largest that any node shows.
+  double largest_gauge(const std::string& name) {
+    double largest = 0;
+    for (auto& [node, logger] : loggers) largest = std::max(largest, logger.value(name));
+    return largest;
+  }
   std::size_t nodes_that(const std::string& event) {
     std::size_t count = 0;
     for (auto& [name, events] : lines)
--- /dev/null
+++ b/tests/deploy_file.h
@@ -0,0 +1,28 @@
+// The deploy file's roles, and which machines of a deployment run them.
+#pragma once
+#include <toml++/toml.h>
+
+#include <cmath>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace herontally::deploy_file {
+
+// The part of each zone's machines that runs the role.
+inline double share_of(const std::string& role) {
+  auto document = toml::parse_file(DEPLOY_FILE);
+  auto share = document["roles"][role]["share"].value<double>();
+  if (!share) throw std::runtime_error("the deploy file has no share for " + role);
+  return *share;
+}
+
+// By zone: `share` of its machines, rounded up.
+inline std::vector<int> machines_in_use(const std::vector<int>& machines_by_zone, double share) {
+  std::vector<int> in_use;
+  in_use.reserve(machines_by_zone.size());
+  for (int machines : machines_by_zone) in_use.push_back(static_cast<int>(std::ceil(machines * share)));
+  return in_use;
+}
+
+}  // namespace herontally::deploy_file
--- a/tests/platform_simulator/main.cc
+++ b/tests/platform_simulator/main.cc
@@ -3,7 +3,9 @@
 #include <stdio.h>
 
 #include <algorithm>
+#include <numeric>
 
+#include "../deploy_file.h"
 #include "../platform_site_faults.h"
 #include "logging/logging.h"
 #include "runtime/breaks.h"
@@ -14,7 +16,8 @@
 ABSL_FLAG(std::string, only, "", "kinds of faults, with commas between; empty: all");
 ABSL_FLAG(std::int64_t, faults, 8, "faults in each run");
 ABSL_FLAG(std::int64_t, losses, 1, "machines that keep data to be lost at once: 1 or 2");
-ABSL_FLAG(std::string, shape, "", "small, many_stores, large or four_zones; empty: the fewest machines");
+ABSL_FLAG(std::string, shape, "",
+          "small, many_stores, large or four_zones, as the deploy file runs it; empty: the fewest machines");
 ABSL_FLAG(double, long_day, 0, "virtual seconds of a long day; 0: one fault after another");
 ABSL_FLAG(std::int64_t, pause_ms, 80, "longest pause between two beginnings of clients, in milliseconds");
 ABSL_FLAG(bool, verbose, false, "print each run's faults and counts");
@@ -34,17 +37,35 @@
     "--expect RULE]\n\n"
     "Example:\n  platform_simulator --seeds 1..40 --only edge_roll,change\n";
 
-// The sizes of the users' deployments among cores and stores; few edges, since they are many alike.
+// A deployment of the users by its machines; few edges, since they are many alike.
+static std::optional<platform_simulator::site_shape> deployment_named(const std::string& name) {
+  if (name == "small") return {{.cores = 5, .stores = 3, .edges = 6, .zones = 3, .losses = 1}};
+  if (name == "many_stores") return {{.cores = 5, .stores = 10, .edges = 8, .zones = 3, .losses = 2}};
+  if (name == "large") return {{.cores = 9, .stores = 8, .edges = 8, .zones = 3, .losses = 2}};
+  if (name == "four_zones") return {{.cores = 9, .stores = 10, .edges = 8, .zones = 4, .losses = 2}};
+  return std::nullopt;
+}
+
+// How many of the machines, which lie over the zones in turn, the deploy file lets run the role.
+static int started_machines(const std::string& role, int machines, int zones) {
+  std::vector<int> by_zone(static_cast<std::size_t>(zones), 0);
+  for (int number = 0; number < machines; ++number) ++by_zone[static_cast<std::size_t>(number % zones)];
+  auto in_use = deploy_file::machines_in_use(by_zone, deploy_file::share_of(role));
+  return std::accumulate(in_use.begin(), in_use.end(), 0);
+}
+
+// The shape in which the deploy file runs the deployment that is named.
 static platform_simulator::site_shape shape_of_flags() {
   auto losses = static_cast<int>(absl::GetFlag(FLAGS_losses));
   if (losses < 1 || losses > 2) settings::end_with("platform_simulator", {"--losses", "must be 1 or 2"});
   auto name = absl::GetFlag(FLAGS_shape);
   if (name.empty()) return platform_simulator::smallest_shape(losses);
-  if (name == "small") return {.cores = 5, .stores = 3, .edges = 6, .zones = 3, .losses = 1};
-  if (name == "many_stores") return {.cores = 5, .stores = 10, .edges = 8, .zones = 3, .losses = 2};
-  if (name == "large") return {.cores = 9, .stores = 8, .edges = 8, .zones = 3, .losses = 2};
-  if (name == "four_zones") return {.cores = 9, .stores = 10, .edges = 8, .zones = 4, .losses = 2};
-  settings::end_with("platform_simulator", {"--shape", "must be small, many_stores, large or four_zones"});
+  auto shape = deployment_named(name);
+  if (!shape)
+    settings::end_with("platform_simulator", {"--shape", "must be small, many_stores, large or four_zones"});
+  shape->cores = started_machines("core", shape->cores, shape->zones);
+  shape->stores = started_machines("store", shape->stores, shape->zones);
+  return *shape;
 }
 
 static platform_simulator::run_options options_of_flags() {
