--- a/src/agent/draining_watch.cc
+++ b/src/agent/draining_watch.cc
@@ -2,6 +2,7 @@
 
 #include "engine/listing.h"
 #include "runtime/breaks.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::agent {
 
@@ -29,13 +30,14 @@
 // Draining engines in the product's own list protocol.
 static std::optional<std::vector<std::string>> draining_in(const runtime::http_outcome& result) {
   auto* response = std::get_if<runtime::http_response>(&result);
-  auto document = response && response->status == 200 ? json::parse(response->body, nullptr, false) : json();
-  bool usable = document.is_object() && document.contains("engines") && document["engines"].is_array();
+  bool answered = response && response->status == 200;
+  auto document = answered ? serialization::parse_bounded_object(response->body) : std::nullopt;
+  bool usable = document && document->contains("engines") && (*document)["engines"].is_array();
   if (!usable) return std::nullopt;
   std::vector<std::string> draining;
-  for (auto& engine : document["engines"])
-    if (engine.is_object() && engine.value("state", "running") != "running")
-      draining.push_back(engine.value("name", ""));
+  for (auto& engine : (*document)["engines"])
+    if (serialization::text_member(engine, "state", "running") != "running")
+      draining.push_back(serialization::text_member(engine, "name"));
   return draining;
 }
 
--- a/src/configuration/record.cc
+++ b/src/configuration/record.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "serialization/bounded_json.h"
+
 namespace herontally::configuration {
 
 // What came later than the first version of this record is left out while it is empty, and may be missing.
@@ -35,10 +37,10 @@
 std::string to_text(const record& content) { return json(content).dump(); }
 
 std::optional<record> record_from_text(const std::string& text) {
-  auto document = json::parse(text, nullptr, false);
-  if (!document.is_object()) return std::nullopt;
+  auto document = serialization::parse_bounded_object(text, serialization::max_record_depth);
+  if (!document) return std::nullopt;
   try {
-    return document.get<record>();
+    return document->get<record>();
   } catch (const json::exception&) {
     // Another version's record that can't be read counts as none.
     return std::nullopt;
--- a/src/control_node/engine_list_poller.cc
+++ b/src/control_node/engine_list_poller.cc
@@ -1,6 +1,7 @@
 #include "control_node/engine_list_poller.h"
 
 #include "engine/listing.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::control_node {
 
@@ -43,8 +44,8 @@
   bool changed = text != publisher_->last_published();
   if (!changed && !again) return;
   for (auto& engine : engines) {
-    bool draining = engine.is_object() && engine.value("state", "running") != "running";
-    if (draining) report_draining(engine.value("name", ""), engine.dump());
+    bool draining = serialization::text_member(engine, "state", "running") != "running";
+    if (draining) report_draining(serialization::text_member(engine, "name"), engine.dump());
   }
   if (changed)
     context_->logger.info("engine list changed", {{"engines", engines.size()}, {"epoch", published_epoch_}});
@@ -64,10 +65,10 @@
         co_await runtime::http_fetch(shared->runtime, shared->place.platform, request, platform_timeout);
     auto* response = std::get_if<runtime::http_response>(&result);
     bool answered = response && response->status == 200;
-    auto document = answered ? json::parse(response->body, nullptr, false) : json();
-    bool usable = document.is_object() && document.contains("engines") && document["engines"].is_array();
+    auto document = answered ? serialization::parse_bounded_object(response->body) : std::nullopt;
+    bool usable = document && document->contains("engines") && (*document)["engines"].is_array();
     if (usable)
-      self->handle_own_list(document["engines"]);
+      self->handle_own_list((*document)["engines"]);
     else
       shared->logger.count("herontally_platform_silent_total");
   }
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -136,18 +136,22 @@
 }
 
 bool node::state::serve_http() {
-  auto serve = [runtime = shared->runtime, weak = std::weak_ptr<operator_api>(operators)](
-                   runtime::inbound_request request, http_api::writer out) {
-    if (auto here = weak.lock()) runtime.spawn(here->serve(std::move(request), std::move(out)));
+  auto serve = [runtime = shared->runtime, logger = shared->logger,
+                weak = std::weak_ptr<operator_api>(operators)](runtime::inbound_request request,
+                                                               http_api::writer out) {
+    auto here = weak.lock();
+    if (here) runtime.spawn(http_api::serve_guarded(here->serve(std::move(request), out), out, logger));
   };
   return shared->runtime.http_serve(shared->place.http, serve);
 }
 
 bool node::state::serve_control() {
   if (!shared->platform_adapter || shared->place.control.empty()) return true;
-  auto serve = [runtime = shared->runtime, weak = std::weak_ptr<platform_operator_api>(platform_operators)](
+  auto serve = [runtime = shared->runtime, logger = shared->logger,
+                weak = std::weak_ptr<platform_operator_api>(platform_operators)](
                    runtime::inbound_request request, http_api::writer out) {
-    if (auto here = weak.lock()) runtime.spawn(here->serve(std::move(request), std::move(out)));
+    auto here = weak.lock();
+    if (here) runtime.spawn(http_api::serve_guarded(here->serve(std::move(request), out), out, logger));
   };
   return shared->runtime.http_serve(shared->place.control, serve);
 }
--- a/src/control_node/operator_api.cc
+++ b/src/control_node/operator_api.cc
@@ -1,6 +1,7 @@
 #include "control_node/operator_api.h"
 
 #include "schema_operators.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::control_node {
 
@@ -145,7 +146,7 @@
                                    std::string partner) {
   auto self = shared_from_this();
   document_change asked;
-  asked.body = json::parse(request.body, nullptr, false);
+  asked.body = serialization::parse_bounded(request.body).value_or(json());
   asked.patch = request.method == "PATCH";
   asked.partner = partner;
   if (!asked.body.is_object()) {
@@ -291,7 +292,7 @@
     reject(out, 401, "a bearer token for every section is needed", executed::no);
     co_return;
   }
-  auto body = json::parse(request.body, nullptr, false);
+  auto body = serialization::parse_bounded(request.body).value_or(json());
   for (std::string group : {core_group, store_group}) {
     if (is_address_list(body, group)) continue;
     reject(out, 400, group + " must list an odd number of ip:port", executed::no);
--- a/src/engine/completion.cc
+++ b/src/engine/completion.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "serialization/bounded_json.h"
+
 namespace herontally::engine {
 
 using json = nlohmann::json;
@@ -57,15 +59,15 @@
       ready.push_back(last);
       return;
     }
-    auto event = json::parse(text, nullptr, false);
-    if (!event.is_object()) {
+    auto event = serialization::parse_bounded_object(text);
+    if (!event) {
       // An engine that speaks no JSON can't be trusted for the rest either.
       done = true;
       ready.push_back(completion_failure{true, status, "malformed event"});
       return;
     }
     try {
-      take_event(event);
+      take_event(*event);
     } catch (const json::exception&) {
       done = true;
       ready.push_back(completion_failure{true, status, "malformed event"});
--- a/src/http_api/responses.cc
+++ b/src/http_api/responses.cc
@@ -65,6 +65,18 @@
   return false;
 }
 
+void report_failure(const logging::logger& logger, const std::string& what) {
+  logger.count("herontally_request_failures_total");
+  logger.error("the work of a request has thrown", {{"what", what}});
+}
+
+runtime::task<> serve_guarded(runtime::task<> work, writer out, logging::logger logger) {
+  auto failure = co_await runtime::failure_of(std::move(work));
+  if (!failure) co_return;
+  report_failure(logger, *failure);
+  reject(out, 500, "internal error", executed::unknown);
+}
+
 std::string bearer(const runtime::inbound_request& incoming) {
   auto found = incoming.headers.find("authorization");
   if (found == incoming.headers.end() || found->second.rfind("Bearer ", 0) != 0) return "";
--- a/src/http_api/responses.h
+++ b/src/http_api/responses.h
@@ -21,6 +21,11 @@
 // Answers /healthz, /readyz and /metrics; true when it did.
 bool common_pages(const runtime::inbound_request& incoming, const writer& out, const logging::logger& logger,
                   bool ready, json detail = json::object());
+// Serves a request: what its work throws becomes the client's 500, a line in the log and a count
+// (`herontally_request_failures_total`), and the process goes on.
+runtime::task<> serve_guarded(runtime::task<> work, writer out, logging::logger logger);
+// Records that the work of a request, of whatever kind, has thrown.
+void report_failure(const logging::logger& logger, const std::string& what);
 std::string bearer(const runtime::inbound_request& incoming);
 
 }  // namespace herontally::http_api
--- a/src/ledger/call_ledger.cc
+++ b/src/ledger/call_ledger.cc
@@ -1,6 +1,7 @@
 #include "ledger/call_ledger.h"
 
 #include "runtime/breaks.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::ledger {
 
@@ -12,9 +13,9 @@
 
 std::optional<call_record> call_record_from_text(const std::optional<std::string>& text) {
   if (!text) return std::nullopt;
-  auto document = nlohmann::json::parse(*text, nullptr, false);
-  if (document.is_object()) {
-    auto found = parse<call_record>(dump(with_defaults(document, {{"keep_until", 0}})));
+  auto document = serialization::parse_bounded_object(*text, serialization::max_record_depth);
+  if (document) {
+    auto found = parse<call_record>(dump(with_defaults(*document, {{"keep_until", 0}})));
     if (found && found->state != call_state::unrecognized) return found;
   }
   // There is a record, whatever it says: the call may have run.
--- a/src/ledger/conversation_record.cc
+++ b/src/ledger/conversation_record.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "serialization/bounded_json.h"
+
 namespace herontally::ledger {
 
 using json = nlohmann::json;
@@ -23,9 +25,9 @@
 
 conversation_record conversation_from_text(const std::optional<std::string>& text) {
   if (!text) return {};
-  auto document = json::parse(*text, nullptr, false);
-  if (!document.is_object()) return unreadable_record();
-  document = with_defaults(std::move(document), {{"told_pages", ""}});
+  auto stored = serialization::parse_bounded_object(*text, serialization::max_record_depth);
+  if (!stored) return unreadable_record();
+  auto document = with_defaults(std::move(*stored), {{"told_pages", ""}});
   try {
     auto content = document.get<conversation_record>();
     for (auto& each : content.endings)
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -153,7 +153,7 @@
   std::int64_t most = 0;
   for (std::size_t position : equals) most = std::max(most, tokens(asked, engines[position]));
   std::erase_if(equals, [&](std::size_t position) { return tokens(asked, engines[position]) < most; });
-  double nearest = 0;
+  double nearest = engines[equals.front()].tie_break_score;
   for (std::size_t position : equals) nearest = std::max(nearest, engines[position].tie_break_score);
   std::erase_if(equals, [&](std::size_t position) { return engines[position].tie_break_score < nearest; });
   // Equals are drawn, so that many proxies with the same view don't all choose the same engine.
--- a/src/proxy/call_handler.cc
+++ b/src/proxy/call_handler.cc
@@ -1,6 +1,7 @@
 #include "proxy/call_handler.h"
 
 #include "runtime/breaks.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::proxy {
 
@@ -21,8 +22,8 @@
 // A back end that says so itself, before it did anything, has not run the call.
 bool says_not_run(const runtime::http_response& response) {
   if (response.status < 500) return false;
-  auto body = json::parse(response.body, nullptr, false);
-  return body.is_object() && body.value("ran", "") == "no";
+  auto body = serialization::parse_bounded_object(response.body);
+  return body && serialization::text_member(*body, "ran") == "no";
 }
 
 call_outcome outcome_of(const runtime::http_outcome& result) {
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -105,7 +105,10 @@
     co_return "inner can't be listened on: " + shared->place.inner;
   shared->trace.serve(shared->endpoint, rpc::node_role::proxy);
   auto serve = [weak = std::weak_ptr<state>(self)](runtime::inbound_request request, http_api::writer out) {
-    if (auto here = weak.lock()) here->shared->runtime.spawn(here->serve(std::move(request), std::move(out)));
+    auto here = weak.lock();
+    if (!here) return;
+    auto& shared = *here->shared;
+    shared.runtime.spawn(http_api::serve_guarded(here->serve(std::move(request), out), out, shared.logger));
   };
   if (!shared->runtime.http_serve(shared->place.http, serve))
     co_return "http can't be listened on: " + shared->place.http;
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -38,7 +38,10 @@
   auto& runtime = context_->runtime;
   auto serve_client = [weak](runtime::inbound_request request, http_api::writer out) {
     auto self = weak.lock();
-    if (self) self->context_->runtime.spawn(self->router_.serve(std::move(request), std::move(out)));
+    if (!self) return;
+    auto& shared = *self->context_;
+    shared.runtime.spawn(
+        http_api::serve_guarded(self->router_.serve(std::move(request), out), out, shared.logger));
   };
   if (!runtime.http_serve(place.ingress, serve_client))
     return "ingress can't be listened on: " + place.ingress;
--- a/src/proxy/turn_handler.cc
+++ b/src/proxy/turn_handler.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "runtime/breaks.h"
+#include "serialization/bounded_json.h"
 
 namespace herontally::proxy {
 
@@ -61,7 +62,7 @@
     reject(out, 404, "no such program", executed::no);
     return std::nullopt;
   }
-  auto body = json::parse(request.body, nullptr, false);
+  auto body = serialization::parse_bounded(request.body).value_or(json());
   auto fault = fault_of(body);
   if (!fault.empty()) {
     reject(out, 400, fault, executed::no);
--- a/src/router/attempt.cc
+++ b/src/router/attempt.cc
@@ -1,4 +1,6 @@
 // One attempt: the request goes to the planned engine, and its answer back to the client.
+#include <absl/cleanup/cleanup.h>
+
 #include "router/request_router_state.h"
 
 namespace herontally::router {
@@ -152,6 +154,10 @@
   auto engine = made.engine;
   self->log_placement(*one, made);
   self->engines.sent(engine, made.unread_tokens, self->runtime.now());
+  absl::Cleanup ended = [self, engine] {
+    self->engines.ended(engine);
+    self->notify_waiting();
+  };
   auto stream =
       std::make_shared<runtime::http_stream>(self->runtime, made.address, self->request_for(*one, made));
   one->interrupt = [weak = std::weak_ptr<runtime::http_stream>(stream)] {
@@ -163,8 +169,7 @@
   if (first && !one->client_gone) outcome = co_await self->handle_first(one, made, stream, std::move(*first));
   if (one->client_gone) outcome = attempt_outcome::client_gone;
   if (outcome == attempt_outcome::overdue) one->engine_heard = true;
-  self->engines.ended(engine);
-  self->notify_waiting();
+  std::move(ended).Invoke();
   // What the engine has read it keeps for a while.
   bool read = outcome == attempt_outcome::answered || outcome == attempt_outcome::cut ||
               outcome == attempt_outcome::client_gone;
--- a/src/router/request.cc
+++ b/src/router/request.cc
@@ -91,11 +91,23 @@
   co_return true;
 }
 
-task<> request_router::state::run(exchange_pointer one) {
+task<> request_router::state::answer(exchange_pointer one) {
   auto self = shared_from_this();
   bool prepared = co_await self->prepare(one);
   if (prepared) prepared = co_await self->claim_operation(one);
   if (prepared) co_await self->run_attempts(one);
+}
+
+task<> request_router::state::run(exchange_pointer one) {
+  auto self = shared_from_this();
+  auto failure = co_await runtime::failure_of(self->answer(one));
+  if (failure) {
+    constexpr int internal_error = 500;
+    http_api::report_failure(self->logger, *failure);
+    // How far it came isn't known.
+    one->may_have_run = true;
+    self->reject(one, {internal_error, "internal error"});
+  }
   if (must_release(*one)) self->runtime.spawn(self->release_operation(one, take_claim(*one)));
   // What was put out is spent; nobody waits for the ledger's reply.
   if (one->reserved) self->runtime.spawn(self->settle(one));
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -1,5 +1,7 @@
 #include "router/request_router.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include "router/request_router_state.h"
 
 namespace herontally::router {
@@ -190,11 +192,11 @@
     co_return;
   }
   ++self->in_flight;
+  absl::Cleanup ended = [self] { --self->in_flight; };
   watch_client(one);
   bool admitted = co_await self->admit_by_quota(one);
   if (admitted) co_await self->run(one);
   if (admitted) self->give_back_quota(*one);
-  --self->in_flight;
 }
 
 }  // namespace herontally::router
--- a/src/router/request_router_state.h
+++ b/src/router/request_router_state.h
@@ -131,6 +131,7 @@
 
   // Ledger. False: the request was rejected.
   task<> run(exchange_pointer one);
+  task<> answer(exchange_pointer one);
   task<bool> prepare(exchange_pointer one);
   std::optional<rejection> check_ledger(const exchange& one, bool budgeted,
                                         ledger::program_reservation reserved,
--- a/src/rpc/endpoint.cc
+++ b/src/rpc/endpoint.cc
@@ -52,7 +52,20 @@
 
 runtime::task<> run_handler(logging::logger logger, int version, std::string sender, registered_handler found,
                             json body, std::function<void(std::string)> send_reply) {
-  json reply = co_await found.handle(std::move(body));
+  json reply;
+  std::string failure;
+  try {
+    reply = co_await found.handle(std::move(body));
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  if (!failure.empty()) {
+    // To the caller it is a message that nobody could read.
+    logger.count("herontally_inner_failures_total");
+    logger.error("the handler of an inner message has thrown",
+                 {{"reply", found.reply_kind}, {"what", failure}});
+    co_return send_reply("");
+  }
   auto sealed = seal(version, sender, found.reply_kind, reply);
   // A reply that our own schema refuses is a fault of this process; the caller sees a closed channel.
   if (sealed) logger.count("herontally_inner_answer_bytes_total", static_cast<double>(sealed->size()));
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -38,6 +38,7 @@
 };
 // The server's side of one HTTP exchange.
 struct http_writer {
+  // Once a head is under way (`start`), no other answer can follow: it is cut off instead.
   std::function<void(http_response)> reply;
   std::function<void(int, std::map<std::string, std::string>)> start;
   std::function<void(std::string)> piece;
--- a/src/runtime/http_server_exchange.cc
+++ b/src/runtime/http_server_exchange.cc
@@ -61,10 +61,23 @@
     connection_of(part.get(), channel)->linger = true;
 }
 
+void cut_off(const std::shared_ptr<server_exchange>& held) {
+  if (!held->usable()) return;
+  auto* request = std::exchange(held->request, nullptr);
+  auto* channel = evhttp_request_get_connection(request);
+  held->on_gone = nullptr;
+  // Freeing the channel frees the request with it; without a channel the request is ours to free.
+  if (channel)
+    evhttp_connection_free(channel);
+  else
+    evhttp_request_free(request);
+}
+
 // The functions that answer.
 void bind_answer(http_writer& writer, const std::shared_ptr<server_exchange>& held) {
   writer.reply = [held](http_response response) {
     if (!held->usable()) return;
+    if (held->head_sent) return cut_off(held);
     held->on_gone = nullptr;
     if (*held->draining) announce_close(*held);
     auto* request = std::exchange(held->request, nullptr);
@@ -77,6 +90,7 @@
   writer.start = [held](int status, std::map<std::string, std::string> headers) {
     if (!held->usable()) return;
     if (*held->draining) announce_close(*held);
+    held->head_sent = true;
     add_headers(held->request, headers);
     evhttp_send_reply_start(held->request, status, reason_of(status));
   };
@@ -105,17 +119,7 @@
     if (!channel) return 0;
     return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(channel)));
   };
-  writer.cut = [held] {
-    if (!held->usable()) return;
-    auto* request = std::exchange(held->request, nullptr);
-    auto* channel = evhttp_request_get_connection(request);
-    held->on_gone = nullptr;
-    // Freeing the channel frees the request with it; without a channel the request is ours to free.
-    if (channel)
-      evhttp_connection_free(channel);
-    else
-      evhttp_request_free(request);
-  };
+  writer.cut = [held] { cut_off(held); };
   writer.last_on_connection = [held] {
     if (held->usable()) announce_close(*held);
   };
--- a/src/runtime/http_server_parts.h
+++ b/src/runtime/http_server_parts.h
@@ -20,6 +20,7 @@
   evhttp_request* request = nullptr;
   std::weak_ptr<http_server_part> part;
   std::shared_ptr<const bool> draining;  // of its server
+  bool head_sent = false;
   bool gone = false;
   std::function<void()> on_gone;
   ~server_exchange();
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -38,11 +38,25 @@
 }
 void handle::cancel(std::uint64_t timer) const { state_->table.cancel(timer); }
 
+// Nobody awaits a spawned task, so that nobody could go on from what it threw.
 static task<> run_root(task<> work, std::function<void()> done) {
-  co_await std::move(work);
+  try {
+    co_await std::move(work);
+  } catch (...) {
+    std::terminate();
+  }
   done();
 }
 
+task<std::optional<std::string>> failure_of(task<> work) {
+  try {
+    co_await std::move(work);
+  } catch (const std::exception& error) {
+    co_return error.what();
+  }
+  co_return std::nullopt;
+}
+
 void handle::spawn(task<> work) const {
   if (state_->stopped) return;
   std::uint64_t number = state_->next_root++;
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -1,4 +1,5 @@
-// Lazy coroutine tasks: a task starts when it is awaited or spawned and owns its frame.
+// Lazy coroutine tasks: a task starts when it is awaited or spawned and owns its frame. What a task throws is
+// thrown again where it is awaited; a spawned task that throws ends the process.
 #pragma once
 #include <coroutine>
 #include <exception>
@@ -46,10 +47,11 @@
   struct promise_type : pooled_frame {
     std::coroutine_handle<> continuation;
     std::optional<T> value;
+    std::exception_ptr failure;
     task get_return_object() { return task(std::coroutine_handle<promise_type>::from_promise(*this)); }
     std::suspend_always initial_suspend() noexcept { return {}; }
     resume_continuation final_suspend() noexcept { return {}; }
-    void unhandled_exception() { std::terminate(); }
+    void unhandled_exception() { failure = std::current_exception(); }
     void return_value(T result) { value.emplace(std::move(result)); }
   };
   bool await_ready() const noexcept { return false; }
@@ -57,7 +59,11 @@
     frame_.get().promise().continuation = waiter;
     return frame_.get();
   }
-  T await_resume() { return std::move(*frame_.get().promise().value); }
+  T await_resume() {
+    auto& promise = frame_.get().promise();
+    if (promise.failure) std::rethrow_exception(promise.failure);
+    return std::move(*promise.value);
+  }
 
  private:
   explicit task(std::coroutine_handle<promise_type> handle) : frame_(handle) {}
@@ -69,10 +75,11 @@
  public:
   struct promise_type : pooled_frame {
     std::coroutine_handle<> continuation;
+    std::exception_ptr failure;
     task get_return_object() { return task(std::coroutine_handle<promise_type>::from_promise(*this)); }
     std::suspend_always initial_suspend() noexcept { return {}; }
     resume_continuation final_suspend() noexcept { return {}; }
-    void unhandled_exception() { std::terminate(); }
+    void unhandled_exception() { failure = std::current_exception(); }
     void return_void() {}
   };
   bool await_ready() const noexcept { return false; }
@@ -80,7 +87,9 @@
     frame_.get().promise().continuation = waiter;
     return frame_.get();
   }
-  void await_resume() {}
+  void await_resume() {
+    if (frame_.get().promise().failure) std::rethrow_exception(frame_.get().promise().failure);
+  }
   // Only the runtime starts a task that nobody awaits.
   void start() { frame_.get().resume(); }
 
--- a/src/simulator/world_http.h
+++ b/src/simulator/world_http.h
@@ -13,7 +13,8 @@
   std::string address, echo_name, echo_value;
   bool pooled = false, passed_over = false;  // the answer is another request's
   bool last = false;                         // the server wants no further request on this connection
-  bool client_closed = false, server_knows = false, ended = false, replied = false, arrived = false;
+  bool client_closed = false, server_knows = false, ended = false, head_sent = false, replied = false,
+       arrived = false;
   std::size_t unread_bytes = 0;   // what a stalled client leaves lying
   microseconds last_arrival = 0;  // pieces arrive in the order they were sent in
 };
--- a/src/simulator/world_http_writer.cc
+++ b/src/simulator/world_http_writer.cc
@@ -66,11 +66,13 @@
   writer->reply = [send, weak, exchange](rt::http_response response) {
     if (std::exchange(exchange->replied, true)) return;
     exchange->on_gone = nullptr;
+    if (exchange->head_sent) return send(rt::http_failure{true}, 0);
     send(head_of(response.status, response.headers, is_last_on_connection(weak, *exchange)), 100);
     if (!response.body.empty()) send(rt::http_piece{response.body}, response.body.size());
     send(rt::http_end{}, 0);
   };
   writer->start = [send, weak, exchange](int status, std::map<std::string, std::string> headers) {
+    exchange->head_sent = true;
     send(head_of(status, headers, is_last_on_connection(weak, *exchange)), 100);
   };
   writer->piece = [send](std::string bytes) {
--- a/tests/platform_operators_test.cc
+++ b/tests/platform_operators_test.cc
@@ -163,3 +163,62 @@
   other["upsert"] = json::array();
   CHECK(refused(other) == "/upsert");
 }
+
+// Guards against review case 2 (FAULT): an amendment that ends every core that reads it.
+TEST_CASE("an amendment with a value of another form than its member's is refused") {
+  auto current = whole(7).dump();
+  auto route = whole()["routing"][0];
+  auto refused = [&current](const char* member, const json& value) {
+    return against(json{{"generation", 9}, {"upsert", {{member, value}}}}.dump(), current, true);
+  };
+  CHECK(refused("routing", route) == "/upsert/routing");
+  CHECK(refused("backends", json::object({{"label", "chat"}})) == "/upsert/backends");
+  CHECK(refused("principals", json::object({{"label", "t"}})) == "/upsert/principals");
+  CHECK(refused("generation", json::object({{"a", 1}})) == "/upsert/generation");
+  CHECK(refused("caps", json::array({route})) == "/upsert/caps");
+  CHECK(refused("routing", json::array({json::array()})) == "/upsert/routing");
+  CHECK(refused("news", 5) == "/upsert/news");
+  auto removal = [&current](const json& labels) {
+    return against(json{{"generation", 9}, {"remove", {{"routing", labels}}}}.dump(), current, true);
+  };
+  CHECK(removal(json::object({{"look", true}})) == "/remove/routing");
+  CHECK(removal(json::array({5})) == "/remove/routing");
+  CHECK(removal(json::array({"look"})) == "");
+}
+
+// Guards against the same: what an operator nests without end exhausts the stack of whoever handles it.
+TEST_CASE("a document that is nested too deeply is refused, whole or as an amendment") {
+  constexpr int depth = 200'000;
+  auto nested = std::string(depth, '[') + std::string(depth, ']');
+  auto with_nested = [&nested](json document, const std::string& member) {
+    document[member] = "here";
+    auto text = document.dump();
+    return text.replace(text.find("\"here\""), 6, nested);
+  };
+  CHECK(against(with_nested(whole(7), "news")) == "whole");
+  auto group = with_nested(json::object(), "a");
+  CHECK(against("{\"generation\":9,\"upsert\":{\"caps\":" + group + "}}", whole(7).dump(), true) == "whole");
+  // One that was acknowledged before the bound can be replaced, and not amended.
+  auto before = with_nested(whole(7), "news");
+  CHECK(against(json{{"generation", 9}}.dump(), before, true) == "whole");
+  CHECK(against(whole(9).dump(), before) == "");
+}
+
+TEST_CASE("a version after which no other could be named is refused") {
+  CHECK(against(whole(7).dump(), std::nullopt) == "");
+  auto body = whole(7);
+  body["generation"] = 999'999'999'999'999'998;
+  CHECK(against(body) == "");
+  body["generation"] = 999'999'999'999'999'999;
+  CHECK(against(body) == "/generation");
+  body["generation"] = std::numeric_limits<std::uint64_t>::max();
+  CHECK(against(body) == "/generation");
+}
+
+TEST_CASE("a name that can't be stored as text names no zone and no machine") {
+  auto made = words();
+  for (auto* path : {"/-/evacuation/\x85/begin", "/-/retire/a\xff/begin", "/-/retire/a b/read"}) {
+    auto read = made.read_command(call("POST", path));
+    CHECK(std::holds_alternative<platform_protocol::unknown_command>(read));
+  }
+}
--- a/tests/router_plan_test.cc
+++ b/tests/router_plan_test.cc
@@ -202,3 +202,18 @@
   made = here.plan(prompt());
   CHECK_FALSE(std::get<router::plan>(made).source);
 }
+
+// Guards against review case 2 (FAULT): a turn that names so many tokens that no engine seems good enough.
+TEST_CASE("a prompt of any size is placed, however often it is sent") {
+  plan_fixture here;
+  here.engine("one", "a");
+  here.engine("two", "b");
+  auto metadata = prompt();
+  metadata.parts = {{"p", 2'000'000'000}};
+  for (int turn = 0; turn < 8; ++turn) {
+    auto made = here.plan(metadata);
+    auto* found = std::get_if<router::plan>(&made);
+    REQUIRE(found);
+    here.engines.sent(found->engine, found->unread_tokens, here.now);
+  }
+}
