--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -87,30 +87,42 @@
       live, {shared.config ? ranks.proxies : 0, ranks.rank, ranks.previous_proxies, ranks.previous_rank});
 }
 
-task<> platform_ingress::drain() {
+// What was read is answered: the process stays until then, if that comes before its end.
+task<> platform_ingress::wait_until_calm(microseconds until) {
   constexpr microseconds calm_time = 200 * millisecond;
   constexpr microseconds poll_period = 20 * millisecond;
+  auto self = shared_from_this();
+  auto& runtime = self->context_->runtime;
+  auto calm_since = runtime.now();
+  while (runtime.now() < until && runtime.now() - calm_since < calm_time) {
+    co_await runtime.sleep(poll_period);
+    // A client that keeps an idle connection may send its next request at any moment.
+    auto connections = runtime.http_connections(self->context_->place.ingress);
+    if (self->router_.in_flight() > 0 || connections.open > 0) calm_since = runtime.now();
+  }
+}
+
+task<> platform_ingress::drain() {
   // New connections come until the platform has missed our readiness twice.
   constexpr std::int64_t max_arrival_milliseconds = 2500;
   constexpr std::int64_t reserve_milliseconds = 300;
-  // What is in flight gets the time that is left, and nobody else.
-  constexpr microseconds closing_time = 2 * second;
+  constexpr microseconds last_answers_time = 150 * millisecond;
   auto self = shared_from_this();
   auto& runtime = self->context_->runtime;
   auto& place = self->context_->place;
   auto notice = place.notice_milliseconds;
-  self->router_.drain();
-  runtime.http_drain(place.ingress);
   auto last = runtime.now() + (notice - reserve_milliseconds) * millisecond;
+  self->router_.begin_shutdown(last);
+  runtime.http_drain(place.ingress);
   co_await runtime.sleep(std::min<std::int64_t>(max_arrival_milliseconds, notice / 2) * millisecond);
-  auto calm_since = runtime.now();
-  while (runtime.now() < last && runtime.now() - calm_since < calm_time) {
-    co_await runtime.sleep(poll_period);
-    if (runtime.now() > last - closing_time) self->router_.close();
-    // A client that keeps an idle connection may send its next request at any moment.
-    bool busy = self->router_.in_flight() > 0 || runtime.http_connections(place.ingress).open > 0;
-    if (busy) calm_since = runtime.now();
-  }
+  co_await self->wait_until_calm(last);
+  self->router_.give_up_requests();
+  // Their answers, and those to what was read in the last moment, go out.
+  auto end = runtime.now() + last_answers_time;
+  auto is_unanswered = [&] {
+    return self->router_.in_flight() > 0 || runtime.http_connections(place.ingress).unanswered > 0;
+  };
+  while (runtime.now() < end && is_unanswered()) co_await runtime.sleep(10 * millisecond);
 }
 
 }  // namespace herontally::proxy
--- a/src/proxy/platform_ingress.h
+++ b/src/proxy/platform_ingress.h
@@ -19,6 +19,7 @@
 
  private:
   bool is_ready() const;
+  task<> wait_until_calm(microseconds until);
   // Tells the quotas and the router which proxies there are.
   void update_nodes();
 
--- a/src/router/operation.cc
+++ b/src/router/operation.cc
@@ -79,7 +79,8 @@
   first.deduplicated = one->service.deduplicates;
   first.running_until = self->runtime.wall() + (one->deadline - self->runtime.now());
   first.keep_until = self->runtime.wall() + self->options.operation_key_time + clock_margin;
-  auto claimed = co_await self->operations.claim(one->operation_id(), first, claim_deadline(*one));
+  auto claimed = co_await self->operations.claim(one->operation_id(), first,
+                                                 self->shutdown.bounded(claim_deadline(*one)));
   if (auto against = rejection_of(claimed.status)) {
     // The claim may stand all the same.
     bool may_stand = claimed.status == claim_status::uncertain;
--- a/src/router/request.cc
+++ b/src/router/request.cc
@@ -68,7 +68,7 @@
 
 task<bool> request_router::state::prepare(exchange_pointer one) {
   auto self = shared_from_this();
-  auto until = ledger_deadline(*one);
+  auto until = self->shutdown.bounded(ledger_deadline(*one));
   bool budgeted = is_budgeted(*one);
   runtime::slot<program_reservation> reserving(self->runtime);
   // The reservation and the chain are asked for at once: neither needs the other.
@@ -146,6 +146,8 @@
     bool heard = one.engine_heard;
     return rejection{heard ? 504 : 503, "the time is over", heard ? 0 : 100};
   }
+  if (shutdown.is_over(runtime.now()))
+    return rejection{503, "this node is ending", closing_retry_milliseconds};
   const auto* route = route_of(one);
   bool same = route && route->kept == one.route.kept && route->kind == one.route.kind;
   if (same && attempt > 1) same = take_current_route(one);
@@ -212,6 +214,8 @@
     bool over = outcome == attempt_outcome::answered || outcome == attempt_outcome::client_gone ||
                 outcome == attempt_outcome::cut;
     one->may_have_run = one->may_have_run || may_have_run(outcome);
+    if (outcome == attempt_outcome::answered)
+      self->durations.note(one->route.name, self->runtime.now() - one->arrived, self->runtime.now());
     if (over) co_return;
     // Nothing listens at that address, or another engine does: the request went to none.
     if (outcome == attempt_outcome::not_sent || outcome == attempt_outcome::wrong_engine) continue;
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -10,7 +10,6 @@
 
 // The urgency of a request whose route isn't known yet.
 constexpr std::int64_t least_urgent = 9;
-constexpr std::int64_t closing_retry_milliseconds = 20;
 // Engines in slow start and pauses after failures come free by time alone.
 constexpr microseconds max_capacity_wait = 50 * millisecond;
 // Just after a start the table and the list are moments away: whoever waits for them is served sooner than by
@@ -38,6 +37,7 @@
   state_->table = std::move(table);
   state_->evacuated_zones = std::move(evacuated_zones);
   state_->has_routing = true;
+  state_->durations.keep_routes_of(state_->table);
   state_->tenants.set_tenants(state_->table.tenants, state_->runtime.random());
   if (state_->options.quotas) state_->options.quotas->set_tenants(state_->table.tenants);
   for (auto& service : state_->table.services)
@@ -57,9 +57,20 @@
   state_->group = group;
 }
 
-bool request_router::ready() const { return state_->is_serving() && !state_->draining; }
-void request_router::drain() { state_->draining = true; }
-void request_router::close() { state_->closed = true; }
+bool request_router::ready() const { return state_->is_serving() && !state_->shutdown.begun(); }
+
+void request_router::begin_shutdown(microseconds ends_at) {
+  state_->shutdown.begin(state_->runtime.now(), ends_at);
+  state_->notify_waiting();
+}
+
+void request_router::give_up_requests() {
+  // An interrupted request may end at once, and leave the set.
+  auto left = state_->exchanges;
+  for (auto& one : left)
+    if (one->interrupt) one->interrupt();
+}
+
 std::int64_t request_router::in_flight() const { return state_->in_flight; }
 
 planning_context request_router::state::planning() const {
@@ -88,7 +99,7 @@
 
 task<bool> request_router::state::wait_for_capacity(microseconds until, std::int64_t urgency) {
   auto self = shared_from_this();
-  auto left = until - self->runtime.now();
+  auto left = self->shutdown.bounded(until) - self->runtime.now();
   if (left <= 0) co_return false;
   runtime::slot<bool> notifier(self->runtime);
   self->waiting.add(urgency, notifier);
@@ -134,6 +145,12 @@
   return std::nullopt;
 }
 
+std::optional<rejection> request_router::state::check_shutdown(const exchange& one) const {
+  auto now = runtime.now();
+  if (shutdown.may_take(one.deadline, durations.longest(one.route.name, now), now)) return std::nullopt;
+  return rejection{503, "this node is ending", closing_retry_milliseconds};
+}
+
 std::variant<sender, rejection> request_router::state::identify_sender(const exchange& one) const {
   constexpr int unauthorized = 401;
   if (tenants.empty()) return sender{std::nullopt, one.route.urgency};
@@ -176,11 +193,6 @@
   one->request = std::move(request);
   one->out = out;
   one->metadata = self->adapter->read_request(one->request.headers);
-  // Taken now, it would be cut off with an engine at work on it.
-  if (self->closed) {
-    self->reject(one, {503, "this node is ending", closing_retry_milliseconds});
-    co_return;
-  }
   bool serving = co_await self->wait_until_serving(one);
   if (!serving) {
     self->reject(one, {503, "nothing is in force here yet", 300});
@@ -191,8 +203,16 @@
     self->reject(one, *against);
     co_return;
   }
+  if (auto against = self->check_shutdown(*one)) {
+    self->reject(one, *against);
+    co_return;
+  }
   ++self->in_flight;
-  absl::Cleanup ended = [self] { --self->in_flight; };
+  self->exchanges.insert(one);
+  absl::Cleanup ended = [self, one] {
+    --self->in_flight;
+    self->exchanges.erase(one);
+  };
   watch_client(one);
   bool admitted = co_await self->admit_by_quota(one);
   if (admitted) co_await self->run(one);
--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -38,10 +38,13 @@
   void set_nodes(std::int64_t count, const node_group& group);
   // Whether requests are served. Before, they wait for a moment and are then rejected.
   bool ready() const;
-  // No more new connections: each response asks the client to open its next one elsewhere.
-  void drain();
-  // The process is about to end: new requests are rejected before any engine hears of them.
-  void close();
+  // The process was told to end, and ends at `ends_at`. From now on a request is taken only if it can be
+  // answered before that, and rejected before any engine hears of it otherwise. What waits is rejected
+  // shortly before the end.
+  void begin_shutdown(runtime::microseconds ends_at);
+  // The end has come: whoever still waits for an engine's answer is told that it is lost, or, in the midst of
+  // a stream, is cut off.
+  void give_up_requests();
   std::int64_t in_flight() const;
   // Answers the request.
   runtime::task<> serve(runtime::inbound_request request, http_api::writer out);
--- a/src/router/request_router_state.h
+++ b/src/router/request_router_state.h
@@ -12,6 +12,7 @@
 #include "router/idle_limit.h"
 #include "router/request_queue.h"
 #include "router/request_router.h"
+#include "router/shutdown_admission.h"
 #include "router/tenant_directory.h"
 
 namespace herontally::router {
@@ -79,6 +80,9 @@
   std::int64_t retry_milliseconds = 0;  // 0: not said
 };
 
+// Of a node that is ending: any other node serves at once.
+constexpr std::int64_t closing_retry_milliseconds = 20;
+
 // Who sends a request; see `exchange`.
 struct sender {
   std::optional<std::string> tenant;
@@ -99,8 +103,11 @@
   idle_limit idle;
   std::int64_t nodes = 1, in_flight = 0;
   node_group group;
-  bool draining = false, closed = false, has_routing = false;
-  request_queue waiting;  // requests that wait for an engine
+  bool has_routing = false;
+  shutdown_admission shutdown;
+  route_durations durations;
+  request_queue waiting;                 // requests that wait for an engine
+  std::set<exchange_pointer> exchanges;  // that are in flight
 
   state(runtime::handle handle, logging::logger given_logger,
         std::shared_ptr<const platform_protocol::adapter> given_adapter, ledger::program_ledger ledger,
@@ -118,6 +125,8 @@
   bool is_serving() const { return has_routing && engines.known(); }
   task<bool> wait_until_serving(exchange_pointer one);
   std::optional<rejection> assign_route(exchange& one);
+  // Why a request that has come during a shutdown isn't taken; nothing: it is.
+  std::optional<rejection> check_shutdown(const exchange& one) const;
   // Who sends the request by its credential, as the table in force has it.
   std::variant<sender, rejection> identify_sender(const exchange& one) const;
   // False: the request was rejected. What was admitted and ran nowhere is given back.
--- a/src/simulator/world.cc
+++ b/src/simulator/world.cc
@@ -159,6 +159,7 @@
   place.inner.clear();
   place.http.clear();
   place.draining_http.clear();
+  place.resting_connections.clear();
   state_->lose(place, loss);
   std::erase_if(state_->by_address, [&](auto& entry) { return entry.second == name; });
 }
--- a/src/simulator/world.h
+++ b/src/simulator/world.h
@@ -37,7 +37,9 @@
   std::optional<herontally::runtime::handle> runtime;
   std::map<std::string, herontally::runtime::message_handler> inner;
   std::map<std::string, herontally::runtime::http_handler> http;
-  std::set<std::string> draining_http;      // addresses whose answers are the last ones on their connections
+  std::set<std::string> draining_http;  // addresses whose answers are the last ones on their connections
+  // Connections that clients keep between two requests, by address; whoever keeps them counts them here.
+  std::map<std::string, std::size_t> resting_connections;
   int sends_until_freeze = 0;               // messages to storage machines until it freezes; 0: not set
   std::vector<std::function<void()>> held;  // what happened while it was frozen
   std::any node;                            // the program that runs on it
--- a/src/simulator/world_http.cc
+++ b/src/simulator/world_http.cc
@@ -140,7 +140,7 @@
   table.http_drain = [weak, name](std::string address) {
     if (auto here = weak.lock()) here->machines.at(name)->draining_http.insert(address);
   };
-  // Each exchange has a connection of its own, which ends with it.
+  // Each exchange has a connection of its own, which ends with it or rests.
   table.http_connections = [weak, name](std::string address) -> rt::connection_counts {
     auto here = weak.lock();
     if (!here) return {};
@@ -151,7 +151,9 @@
           exchange->server == name && exchange->server_life == life && exchange->address == address;
       open += at_server && exchange->arrived && !exchange->replied ? 1 : 0;
     }
-    return {open, open};
+    auto& resting = here->machines.at(name)->resting_connections;
+    auto kept = resting.find(address);
+    return {open + (kept == resting.end() ? 0 : kept->second), open};
   };
 }
 
--- a/tests/platform_site_engines.cc
+++ b/tests/platform_site_engines.cc
@@ -1,4 +1,6 @@
 // Engines as the users' pages describe them, and the platform's list of them.
+#include <string.h>
+
 #include <algorithm>
 
 #include "platform_site.h"
@@ -191,6 +193,8 @@
   std::int64_t most = comma == std::string::npos ? 0 : std::stoll(counts.substr(comma + 1));
   co_await runtime.sleep((10 + static_cast<microseconds>(where_.draw(40))) * millisecond *
                          (seen.cold ? 3 : 1));
+  bool takes_long = seen.target.compare(0, strlen(long_prefix), long_prefix) == 0;
+  if (takes_long) co_await runtime.sleep(static_cast<microseconds>(where_.draw(long_time_left * 3 / 4)));
   if (trick == 0) {  // the answer is lost
     run->broken_off = true;
     out->cut();
--- a/tests/platform_site_faults.h
+++ b/tests/platform_site_faults.h
@@ -12,6 +12,8 @@
   // How long faults are struck on a long day; 0: `faults` of them, one after another.
   microseconds long_day = 0;
   microseconds pause = usual_pause;  // the longest between two beginnings of clients
+  // Requests that take seconds, on connections that rest nearly as long as they may.
+  bool long_requests = false;
 };
 struct run_report {
   std::vector<violation> violations;
--- a/tests/platform_site_operator.cc
+++ b/tests/platform_site_operator.cc
@@ -37,6 +37,12 @@
                              route("/look/", "idempotent", "apps_a"), route("/write/", "mutating", "apps_a"),
                              route("/swap/", "idempotent", marker_ % 2 ? "apps_a" : "apps_b"),
                              route(own, "idempotent", "apps_b")});
+  if (long_requests_) {
+    auto long_route = route(long_prefix, "mutating", "apps_a");
+    long_route["deadline_ms"] = long_time_left / millisecond;
+    long_route["target_ms"] = 1200;
+    routes.push_back(long_route);
+  }
   if (base > 0) routes.push_back(route("/v" + std::to_string(base) + "/", "idempotent", "apps_b"));
   json services = json::array();
   for (auto* name : {"models", "apps_a", "apps_b"}) {
--- a/tests/platform_site_scenario.cc
+++ b/tests/platform_site_scenario.cc
@@ -56,6 +56,7 @@
   simulator::world world(choice.seed);
   oracle judge(world);
   site place(world, judge, choice.shape);
+  if (choice.long_requests) place.offer_long_requests();
   run_report report;
   if (!place.begin()) judge.violations.push_back({"BEGIN", "the site does not come up", world.now()});
   std::vector<std::string> kinds, closing;
