--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -38,11 +38,11 @@
   void set_nodes(std::int64_t count, const node_group& group);
   // Whether requests are served. Before, they wait for a moment and are then rejected.
   bool ready() const;
-  // The process was told to end, and ends at `ends_at`. From now on a request is taken only if it can be
+  // The process has had its notice, and ends at `ends_at`. From now on a request is taken only if it can be
   // answered before that, and rejected before any engine hears of it otherwise. What waits is rejected
   // shortly before the end.
   void begin_shutdown(runtime::microseconds ends_at);
-  // The end has come: whoever still waits for an engine's answer is told that it is lost, or, in the midst of
+  // The end has come: whoever still waits for an engine's answer hears that it is lost, or, in the midst of
   // a stream, is cut off.
   void give_up_requests();
   std::int64_t in_flight() const;
--- a/src/router/shutdown_admission.h
+++ b/src/router/shutdown_admission.h
@@ -31,7 +31,7 @@
 
 class shutdown_admission {
  public:
-  // The process was told at `now` to end, and ends at `ends_at`.
+  // The process had its notice at `now`, and ends at `ends_at`.
   void begin(microseconds now, microseconds ends_at);
   bool begun() const { return ends_at_.has_value(); }
   // `wanted`, or the time at which whoever waits for something must be answered, if that comes first.
