--- a/tests/input_fuzz/targets.cc
+++ b/tests/input_fuzz/targets.cc
@@ -99,6 +99,15 @@
   read_change(std::nullopt, false, inputs.document(whole_configuration(7)));
 }
 
+// An amendment, at times with a value of any form for some member of the configuration.
+json drawn_amendment(mutator& inputs) {
+  static const char* const members[] = {"routing", "backends", "principals", "generation", "caps", "news"};
+  auto change = whole_amendment(9);
+  auto* member = members[inputs.draw(std::size(members))];
+  if (inputs.chance(3)) change["upsert"][member] = inputs.odd_value();
+  return change;
+}
+
 // Of a current configuration that was taken from an operator too.
 void feed_amendment(mutator& inputs) {
   auto current = whole_configuration(7).dump();
@@ -107,7 +116,7 @@
     auto taken = adapter().read_configuration(std::nullopt, {0, false, other});
     if (std::holds_alternative<platform_protocol::configuration>(taken)) current = other;
   }
-  read_change(current, true, inputs.document(whole_amendment(9)));
+  read_change(current, true, inputs.document(drawn_amendment(inputs)));
 }
 
 void feed_operator_call(mutator& inputs) {
