Cores answer the operators' calls that they have read before they end; the oracle orders by revision

Traced: an order to begin (asked 19.904 s) and one to end (20.407 s) overlapped, were chosen in this order and answered at the same moment, 22.649 s; the simulated operator handled the end's answer first, so that the oracle held the zone for evacuated for good. Before, the core ended in the midst and neither was answered.

The oracle was wrong: it now goes by the revisions that the answers carry, so that the order that stands is the one that is judged.

--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -185,13 +185,16 @@
 task<> node::leave() {
   // Operators' calls that were read get their answer.
   constexpr microseconds drain_time = second;
+  constexpr std::int64_t reserve_milliseconds = 200;
   auto shared = state_->shared;
   shared->leaving = true;
   auto until = shared->runtime.now() + drain_time;
+  auto latest =
+      shared->runtime.now() + (shared->place.notice_milliseconds - reserve_milliseconds) * millisecond;
   co_await shared->members.leave();
   std::vector<std::string> addresses{shared->place.http};
   if (!shared->place.control.empty()) addresses.push_back(shared->place.control);
-  co_await runtime::drain_connections(shared->runtime, addresses, until);
+  co_await runtime::drain_connections(shared->runtime, addresses, until, latest);
 }
 
 }  // namespace herontally::control_node
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -134,7 +134,7 @@
   shared->ends_at = until - answer_time;
   shared->capacity.notify_all();
   std::vector<std::string> addresses{shared->place.http};
-  co_await runtime::drain_connections(shared->runtime, std::move(addresses), until);
+  co_await runtime::drain_connections(shared->runtime, std::move(addresses), until, until);
   // What was answered may still have to be settled in the ledger.
   while (shared->requests_in_flight > 0 && shared->runtime.now() < until)
     co_await shared->runtime.sleep(poll_period);
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -145,12 +145,18 @@
   events_.push(failure);
 }
 
-task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until) {
+task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until,
+                         microseconds latest) {
   constexpr microseconds poll_period = 20 * millisecond;
   for (auto& address : addresses) runtime.http_drain(address);
   auto is_open = [&](auto& address) { return runtime.http_connections(address).open > 0; };
-  while (runtime.now() < until && std::any_of(addresses.begin(), addresses.end(), is_open))
+  auto is_unanswered = [&](auto& address) { return runtime.http_connections(address).unanswered > 0; };
+  while (runtime.now() < latest) {
+    bool waits = runtime.now() < until ? std::any_of(addresses.begin(), addresses.end(), is_open)
+                                       : std::any_of(addresses.begin(), addresses.end(), is_unanswered);
+    if (!waits) co_return;
     co_await runtime.sleep(poll_period);
+  }
 }
 
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -144,8 +144,10 @@
 task<std::optional<std::string>> failure_of(task<> work);
 
 // Graceful shutdown of servers: their next answer asks each client to close its connection, and this returns
-// once all have, or at the time `until`.
-task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until);
+// once all have, or from the time `until` on once every request that was read has its answer, at the latest
+// at `latest`.
+task<> drain_connections(handle runtime, std::vector<std::string> addresses, microseconds until,
+                         microseconds latest);
 
 using http_outcome = std::variant<http_response, http_failure>;
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
--- a/src/simulator/oracle.cc
+++ b/src/simulator/oracle.cc
@@ -62,10 +62,15 @@
       return self.fail("in force", node + " has revision " + std::to_string(revision) + " though " +
                                        std::to_string(newest) + " had been acknowledged");
 }
-void oracle::evacuation_asked(const std::string& zone, microseconds asked) {
-  state_->evacuated[zone] = asked;
+void oracle::evacuation_begun(const std::string& zone, microseconds asked, std::int64_t revision) {
+  if (revision > state_->evacuation_ended[zone]) state_->evacuated[zone] = asked;
+}
+void oracle::evacuation_ending(const std::string& zone) { state_->evacuated.erase(zone); }
+void oracle::evacuation_ended(const std::string& zone, std::int64_t revision) {
+  auto& newest = state_->evacuation_ended[zone];
+  newest = std::max(newest, revision);
+  state_->evacuated.erase(zone);
 }
-void oracle::evacuation_ended(const std::string& zone) { state_->evacuated.erase(zone); }
 void oracle::leaving_learned(const std::string& engine) {
   auto known = state_->engines.find(engine);
   if (known != state_->engines.end() && known->second.learned_leaving < 0)
--- a/src/simulator/oracle.h
+++ b/src/simulator/oracle.h
@@ -57,9 +57,13 @@
   void acknowledged(std::int64_t marker, std::int64_t revision);
   // A node that says it is ready, or a core that was asked, reported this revision.
   void revision_seen(const std::string& node, std::int64_t revision, microseconds asked);
-  // Since the ask that was then granted.
-  void evacuation_asked(const std::string& zone, microseconds asked);
-  void evacuation_ended(const std::string& zone);
+  // An order to begin was granted: the evacuation holds since it was asked for, unless an order to end it was
+  // granted under a later revision. Answers to orders that overlap come in any order; their revisions tell
+  // which one stands.
+  void evacuation_begun(const std::string& zone, microseconds asked, std::int64_t revision);
+  // An order to end is under way: whether the zone is evacuated isn't known until it is answered.
+  void evacuation_ending(const std::string& zone);
+  void evacuation_ended(const std::string& zone, std::int64_t revision);
   void fail(const std::string& rule, const std::string& what);
 
   // At the end, when everything was healed.
--- a/src/simulator/oracle_state.h
+++ b/src/simulator/oracle_state.h
@@ -46,6 +46,7 @@
   std::set<std::string> never_run, ran;  // requests
   std::map<std::string, block_owner> blocks;
   std::map<std::string, microseconds> evacuated;
+  std::map<std::string, std::int64_t> evacuation_ended;  // by zone: the newest revision of an order to end
   std::vector<std::pair<microseconds, std::int64_t>> acknowledged;  // when, revision
   std::int64_t turns = 0, complete = 0, cut = 0, refused = 0, calls_seen = 0, runs = 0, hits = 0, replays = 0,
                pulls = 0, expired = 0, looks = 0;
--- a/src/simulator/site_operators.cc
+++ b/src/simulator/site_operators.cc
@@ -108,17 +108,16 @@
   for (int attempt = 0; attempt < 10; ++attempt) {
     auto asked = state_->where.now();
     // An order to begin may still be under way and be acknowledged between two orders to end.
-    if (!evacuate) state_->judge.evacuation_ended(zone);
+    if (!evacuate) state_->judge.evacuation_ending(zone);
     auto result = co_await operate(cores[static_cast<std::size_t>(attempt) % cores.size()],
                                    evacuate ? "PUT" : "DELETE", "/v1/zones/" + zone + "/evacuation", "", "");
     if (result.status == 200) {
-      // An order to begin that was under way all the while may have been acknowledged since this one was
-      // asked.
+      auto revision = result.body.value("revision", std::int64_t{0});
       if (evacuate)
-        state_->judge.evacuation_asked(zone, asked);
+        state_->judge.evacuation_begun(zone, asked, revision);
       else
-        state_->judge.evacuation_ended(zone);
-      state_->judge.acknowledged(0, result.body.value("revision", std::int64_t{0}));
+        state_->judge.evacuation_ended(zone, revision);
+      state_->judge.acknowledged(0, revision);
       co_return;
     }
     co_await callers().sleep(300 * rt::millisecond);
