--- a/tests/fleet_failures.py
+++ b/tests/fleet_failures.py
@@ -229,19 +229,30 @@
 
 # Everything at once: the pids are those of this fleet's own processes.
 lost_at = time.time()
+moments = []
+
+
+def reached(what):
+    moments.append("%s %.1f s" % (what, time.time() - lost_at))
+
+
 for name, node in nodes().items():
     if name != "store-1":
         assert os.path.exists("/proc/%d" % node["pid"]), name + " had ended by itself"
         os.kill(node["pid"], signal.SIGKILL)
-for name in nodes():
-    fleet("kill", name)
+reached("killed")
+# One command for all: the time of 25 commands is the test's own, and was 13.6 s of 14.6 on a busy machine.
+fleet("kill", *nodes())
+reached("found dead")
 fleet("up")
+reached("started")
 until("every proxy serves", all_ready, 40)
+reached("ready")
 for talk in talks:
     talk.go_on()
 back = time.time() - lost_at
-assert back < 12, "service was back after %.1f s" % back
-check("total loss: every proxy back %.1f s after the first kill" % back)
+assert back < 12, "service was back after %.1f s: %s" % (back, ", ".join(moments))
+check("total loss: every proxy back %.1f s after the first kill (%s)" % (back, ", ".join(moments)))
 print("load meanwhile: %d of %d turns complete, %d calls done, drops %s" % (
     report["turns_complete"], report["turns"], report["calls_done"], report["refusals"]))
 print("fleet of %s: all failures met" % site)
