--- a/src/replication/acceptor.cc
+++ b/src/replication/acceptor.cc
@@ -83,31 +83,15 @@
   return false;
 }
 
-}  // namespace
-
-task<rpc::vote_reply> vote(std::shared_ptr<replica> self, rpc::vote_request request) {
-  rpc::vote_reply reply;
-  check_vote(*self, request, reply);
-  if (reply.status != reply_status::none) co_return reply;
-  std::string record = replica_storage::register_record(request.key);
-  auto& bucket = self->records.bucket_of(record);
-  std::size_t command_bytes =
-      2 * record.size() + request.value.size() + cell_overhead_bytes + bucket.store.value_bytes(record);
-  if (!self->records.may_queue(command_bytes, request.urgent)) {
-    reply.status = refuse_overloaded(*self);
-    co_return reply;
-  }
-  bool is_new_work = request.phase == vote_phase::prepare && !request.urgent;
-  if (is_new_work && !bucket.store.has_capacity(capacity_for_accept, false)) {
-    self->endpoint.logger().count("herontally_disk_full_total");
-    reply.status = reply_status::disk_full;
-    co_return reply;
-  }
-  runtime::slot<rpc::vote_reply> done(self->endpoint.runtime());
+// The vote as a command of the record's bucket: it reads and writes the cell, and answers once that is
+// durable.
+command command_for_vote(const std::shared_ptr<replica>& self, replica_storage::bucket& bucket,
+                         const std::string& record, const rpc::vote_request& request,
+                         runtime::slot<rpc::vote_reply> done) {
   command ballot;
   ballot.urgent = request.urgent;
-  ballot.bytes = command_bytes;
-  ballot.apply = [self, &bucket, record, request, reply, done](staged_changes& staged) mutable {
+  ballot.apply = [self, &bucket, record, request, done](staged_changes& staged) mutable {
+    rpc::vote_reply reply;
     auto bytes = bucket.read(staged, record);
     cell content = bytes ? replica_storage::unpack_cell(*bytes) : cell{};
     bool moved_on = self->current_view.number != request.view && !broken("view");
@@ -129,6 +113,32 @@
       done.set(reply);
     };
   };
+  return ballot;
+}
+
+}  // namespace
+
+task<rpc::vote_reply> vote(std::shared_ptr<replica> self, rpc::vote_request request) {
+  rpc::vote_reply reply;
+  check_vote(*self, request, reply);
+  if (reply.status != reply_status::none) co_return reply;
+  std::string record = replica_storage::register_record(request.key);
+  auto& bucket = self->records.bucket_of(record);
+  std::size_t command_bytes =
+      2 * record.size() + request.value.size() + cell_overhead_bytes + bucket.store.value_bytes(record);
+  if (!self->records.may_queue(command_bytes, request.urgent)) {
+    reply.status = refuse_overloaded(*self);
+    co_return reply;
+  }
+  bool is_new_work = request.phase == vote_phase::prepare && !request.urgent;
+  if (is_new_work && !bucket.store.has_capacity(capacity_for_accept, false)) {
+    self->endpoint.logger().count("herontally_disk_full_total");
+    reply.status = reply_status::disk_full;
+    co_return reply;
+  }
+  runtime::slot<rpc::vote_reply> done(self->endpoint.runtime());
+  auto ballot = command_for_vote(self, bucket, record, request, done);
+  ballot.bytes = command_bytes;
   bucket.push(std::move(ballot));
   co_return co_await done.wait();
 }
