Proposers search for their voters one at a time, at few nodes, with a pause after nothing

Cause: while no quorum answers, each change of each node asked every live store for its view, at each retry: 36 stores, some hundred changes, 255 proxies.

Change: one search at a time in a proposer, which all its changes wait for; it asks the known voters and some drawn seeds, ten in all; after one that found nothing the next waits 50 ms, then up to 400 ms.

The test "FAULT: an outage of the voters costs a node no more bytes than it has at the target size" failed before: 1,206,446 bytes a second sent by one node, of the 7,000 that the target size leaves to it.

--- a/src/consensus/proposer.cc
+++ b/src/consensus/proposer.cc
@@ -11,8 +11,10 @@
 
 namespace {
 
-// Between two background looks for a newer view; a move of the voters takes some hundred milliseconds.
-constexpr microseconds background_refresh_pause = 100 * millisecond;
+// Between two searches for a view of which the first found nothing.
+constexpr microseconds shortest_search_pause = 50 * millisecond, longest_search_pause = 400 * millisecond;
+// Nodes that one search asks; there are many more stores than voters in a large fleet.
+constexpr std::size_t max_searched_nodes = 10;
 // How much longer than its own timeout a voter's reply is waited for.
 constexpr microseconds reply_grace = 50 * millisecond;
 
@@ -160,33 +162,61 @@
   auto self = state_;
   auto runtime = self->endpoint.runtime();
   if (!self->seeds) co_return;
+  runtime::slot<bool> ended(runtime);
+  self->search.waiting.push_back(ended);
+  self->start_search();
+  auto left = std::max<microseconds>(0, deadline - runtime.now());
+  auto timer = runtime.after(left, [ended] { ended.set(false); });
+  co_await ended.wait();
+  runtime.cancel(timer);
+  std::erase_if(self->search.waiting, [](auto& waiter) { return waiter.is_set(); });
+}
+
+void proposer::state::start_search() {
+  if (search.under_way || !seeds) return;
+  search.under_way = true;
+  endpoint.runtime().spawn(search_view());
+}
+
+std::vector<std::string> proposer::state::addresses_to_search() {
+  std::vector<std::string> addresses;
+  for (auto& voter : current.all_voters()) addresses.push_back(voter.address);
+  auto others = seeds();
+  std::shuffle(others.begin(), others.end(), endpoint.runtime().random());
+  for (auto& address : others) {
+    bool listed = std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+    if (!listed && addresses.size() < max_searched_nodes) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+task<> proposer::state::search_view() {
+  auto self = shared_from_this();
+  auto runtime = self->endpoint.runtime();
+  self->identity_refused = false;
+  // What was in vain a while ago says nothing of now.
+  if (runtime.now() > self->search.earliest + longest_search_pause) self->search.pause = 0;
+  if (self->search.earliest > runtime.now()) co_await runtime.sleep(self->search.earliest - runtime.now());
+  auto addresses = self->addresses_to_search();
+  std::int64_t known = self->current.number;
+  auto deadline = runtime.now() + 2 * round_timeout;
   runtime::mailbox<std::string> views(runtime);
-  auto addresses = self->seeds();
   for (auto& address : addresses) runtime.spawn(request_view(self->endpoint, address, self->group, views));
-  std::int64_t known = self->current.number;
-  for (std::size_t received = 0; received < addresses.size(); ++received) {
-    auto wait = std::min(round_timeout * 2, deadline - runtime.now());
-    auto text = co_await views.pop(std::max<microseconds>(0, wait));
+  // One newer view is enough to go on with; voters correct it if there is a newer one still.
+  for (std::size_t received = 0; received < addresses.size() && self->current.number == known; ++received) {
+    auto text = co_await views.pop(std::max<microseconds>(0, deadline - runtime.now()));
     if (!text) break;
     if (!text->empty()) self->learn(view_from_text(*text));
-    // One newer view is enough to go on with; voters correct it if there is a newer one still.
-    if (self->current.number > known) break;
   }
-  self->identity_refused = false;
+  self->end_search(self->current.number > known);
 }
 
-// One at a time, and with a pause after it: every seed is asked.
-void proposer::state::refresh_in_background() {
-  auto runtime = endpoint.runtime();
+void proposer::state::end_search(bool found) {
   identity_refused = false;
-  if (refreshing || runtime.now() < next_refresh) return;
-  refreshing = true;
-  runtime.spawn([](std::shared_ptr<state> self) -> task<> {
-    auto now = self->endpoint.runtime().now();
-    co_await proposer(self).refresh_view(now + 2 * round_timeout);
-    self->refreshing = false;
-    self->next_refresh = self->endpoint.runtime().now() + background_refresh_pause;
-  }(shared_from_this()));
+  search.under_way = false;
+  search.pause = found ? 0 : std::clamp(2 * search.pause, shortest_search_pause, longest_search_pause);
+  search.earliest = endpoint.runtime().now() + search.pause;
+  for (auto& waiter : std::exchange(search.waiting, {})) waiter.set(true);
 }
 
 rpc::vote_request proposer::state::prepare_request(const std::string& key, bool urgent) {
@@ -256,7 +286,7 @@
     if (self->current.voters.empty() || without_quorum)
       co_await refresh_view(deadline);
     else if (self->identity_refused)
-      self->refresh_in_background();
+      self->start_search();
     so_far->refresh_first = false;
     auto result = co_await self->try_change(key, next, urgent, deadline, so_far);
     if (result) co_return *result;
--- a/src/consensus/proposer.h
+++ b/src/consensus/proposer.h
@@ -44,7 +44,7 @@
   const view& current_view() const;
   // Who is asked for an installed view when none is known, or when no quorum answers.
   void set_seeds(std::function<std::vector<std::string>()> addresses);
-  // Asks the seeds for a newer view.
+  // Waits for the end of a search for a newer view, which asks the known voters and some of the seeds.
   runtime::task<> refresh_view(runtime::microseconds deadline);
 
   // Applies `next` to the register. `urgent` changes may use the disk capacity reserved for finishing what
--- a/src/consensus/proposer_state.h
+++ b/src/consensus/proposer_state.h
@@ -41,6 +41,15 @@
   std::unordered_map<std::string, promised_ballot> young_, old_;
 };
 
+// The search for a newer view. There is one at a time, for all that wait for a view: in an outage every
+// change of every node would ask all voters otherwise, again and again.
+struct view_search {
+  bool under_way = false;
+  std::vector<runtime::slot<bool>> waiting;  // set when the search ends
+  runtime::microseconds earliest = 0;        // when the next one may begin
+  runtime::microseconds pause = 0;           // after the last one; it grows while nothing is found
+};
+
 struct proposer::state : std::enable_shared_from_this<proposer::state> {
   rpc::endpoint endpoint;
   std::string group;
@@ -50,8 +59,7 @@
   std::int64_t counter = 0;       // of its last ballot
   std::int64_t highest_seen = 0;  // counter of any ballot that a voter named
   bool identity_refused = false;  // a voter has another identity than the view says
-  bool refreshing = false;        // a background look for a newer view is under way
-  runtime::microseconds next_refresh = 0;
+  view_search search;
   // Voters that are being sent a view, with its number: however many rounds meet the old one, it goes out
   // once.
   std::set<std::pair<std::string, std::int64_t>> views_under_way;
@@ -63,8 +71,12 @@
   runtime::task<round_result> run_round(rpc::vote_request request, view used, runtime::microseconds deadline);
   void note_reply(const view& used, const std::string& voter, const rpc::vote_reply& reply,
                   round_result& result);
-  // Looks for a newer view while changes go on under the known one.
-  void refresh_in_background();
+  // Begins a search for a newer view, unless one is under way.
+  void start_search();
+  runtime::task<> search_view();
+  // The voters of the known view, and others drawn from the seeds.
+  std::vector<std::string> addresses_to_search();
+  void end_search(bool found);
   rpc::vote_request prepare_request(const std::string& key, bool urgent);
   // Sends the view to a voter that missed its installation.
   void send_view(const view& chosen, const std::string& id);
