Agents ask three peers for their first configuration, not a dozen

Before anything is known one peer that has it is enough, and all agents of a fleet that starts ask at once: 12 of 255 each, five times a second, before. Rounds with a known configuration ask as many as before.

--- a/src/agent/config_feed.cc
+++ b/src/agent/config_feed.cc
@@ -17,6 +17,7 @@
 constexpr microseconds max_core_silence = 850 * millisecond;
 constexpr microseconds peer_timeout = 500 * millisecond;
 constexpr microseconds peer_period = 200 * millisecond;
+constexpr std::size_t max_peers_for_first_config = 3;
 
 }  // namespace
 
@@ -128,9 +129,11 @@
     if (peer.name != context_->place.name && (listed || edges_.empty())) peers.push_back(peer);
   }
   std::shuffle(peers.begin(), peers.end(), context_->runtime.random());
-  // What they heard from the others reaches everybody in a number of rounds that grows as this does.
+  // What they heard from the others reaches everybody in a number of rounds that grows as this does. Who
+  // looks for its first configuration needs one peer that has it.
   auto log_of_peers = std::ceil(std::log2(static_cast<double>(peers.size() + 1)));
-  std::size_t limit = 4 + static_cast<std::size_t>(log_of_peers);
+  std::size_t limit =
+      edges_.empty() ? max_peers_for_first_config : 4 + static_cast<std::size_t>(log_of_peers);
   if (peers.size() > limit) peers.resize(limit);
   return peers;
 }
