--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -8,6 +8,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <cstdio>
+#include <unordered_map>
 
 namespace herontally::logging {
 
@@ -33,11 +34,16 @@
   bool is_counter = false;
 };
 
+struct view_hash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
+};
+
 struct logger::state {
   std::string node;
   sink out;
   // Looked up by views, so that counting allocates nothing.
-  std::map<std::string, metric, std::less<>> metrics;
+  std::unordered_map<std::string, metric, view_hash, std::equal_to<>> metrics;
 
   metric& metric_of(std::string_view name) {
     auto found = metrics.find(name);
@@ -65,6 +71,9 @@
   root_logger().log(level, fields.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
+bool logger::logs_info() const {
+  return state_->out || root_logger().isEnabledFor(log4cplus::INFO_LOG_LEVEL);
+}
 void logger::debug(const std::string& what, json fields) const {
   emit(log4cplus::DEBUG_LOG_LEVEL, "debug", state_->node, state_->out, what, std::move(fields));
 }
@@ -92,14 +101,15 @@
 std::string logger::metrics() const {
   std::string text;
   std::string family;
-  for (auto& [name, sample] : state_->metrics) {
-    std::string plain = name.substr(0, name.find('{'));
+  std::map<std::string_view, metric> sorted(state_->metrics.begin(), state_->metrics.end());
+  for (auto& [name, sample] : sorted) {
+    std::string plain(name.substr(0, name.find('{')));
     // One TYPE line for each family, before its first sample.
     if (plain != family) text += "# TYPE " + plain + (sample.is_counter ? " counter\n" : " gauge\n");
     family = plain;
     char number[40];
     snprintf(number, sizeof number, " %.17g\n", sample.value);
-    text += name + number;
+    text.append(name).append(number);
   }
   return text;
 }
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -25,6 +25,9 @@
   void warn(const std::string& what, json fields = json::object()) const;
   void error(const std::string& what, json fields = json::object()) const;
 
+  // Whether somebody reads lines of level info: before the fields of one are made again and again.
+  bool logs_info() const;
+
   // Counters and gauges by name; labels are part of the name, as Prometheus writes them.
   void count(std::string_view name, double amount = 1) const;
   void gauge(std::string_view name, double value) const;
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -113,6 +113,7 @@
   put(update);
   if (!changed) return;
   if (on_change) on_change(update);
+  if (!endpoint.logger().logs_info()) return;
   endpoint.logger().info(
       "member", {{"member", update.name}, {"status", rpc::wire_name(update.status)}, {"zone", update.zone}});
 }
--- a/src/replication/acceptor.cc
+++ b/src/replication/acceptor.cc
@@ -54,8 +54,7 @@
   bool other_view = request.view != self.current_view.number && !broken("view");
   if (reply.status == reply_status::none && other_view) reply.status = reply_status::view_mismatch;
   if (!self.serving()) reply.status = reply_status::failed;
-  bool refused = reply.status != reply_status::none;
-  if (refused && !self.current_view.voters.empty()) reply.view = to_text(self.current_view);
+  if (reply.status != reply_status::none) reply.view = self.current_view_text;
 }
 
 // More than the disk keeps up with is refused at once: the others make a quorum, and repair brings the rest.
@@ -269,7 +268,7 @@
   rpc::identify_reply reply;
   if (request.group != self.group || self.wiping) return reply;
   reply.voter = self.identity;
-  if (!self.current_view.voters.empty()) reply.view = to_text(self.current_view);
+  reply.view = self.current_view_text;
   reply.empty = self.records.empty();
   return reply;
 }
--- a/src/replication/view_installer.cc
+++ b/src/replication/view_installer.cc
@@ -9,7 +9,7 @@
 using runtime::task;
 
 task<bool> reset(std::shared_ptr<replica> self) {
-  self->current_view = view{};
+  self->set_view(view{});
   if (self->on_reset) self->on_reset();
   auto runtime = self->endpoint.runtime();
   self->identity = broken("identity") ? self->endpoint.sender() : runtime.random_name();
@@ -32,7 +32,7 @@
   // The buckets' owners do the writing, so that none of their batches is cut in two.
   bool durable = co_await self->records.put_everywhere(replica_storage::view_record, to_text(chosen));
   if (installing_ == chosen) installing_.reset();
-  if (durable && chosen.number > self->current_view.number) self->current_view = chosen;
+  if (durable && chosen.number > self->current_view.number) self->set_view(chosen);
   auto waiting = std::exchange(waiting_, {});
   for (auto& waiter : waiting) waiter.set(durable);
   if (!durable) co_return false;
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -83,7 +83,7 @@
   if (found.failed) co_return open_error::failed;
   for (auto& text : found.views) {
     auto stored = consensus::view_from_text(text);
-    if (stored.number > shared->current_view.number) shared->current_view = stored;
+    if (stored.number > shared->current_view.number) shared->set_view(stored);
   }
   bool first_start = found.identities.contains("") && shared->current_view.number == 0;
   bool corrupt = found.corrupt || (found.identities.size() > 1 && !first_start);
