A search for voters waits 200 ms for its answers; a later answer is learned from all the same

All changes of a node wait for one search, so that it mustn't wait 1.2 s for a node that is gone while another one installs the view: a change that came later would have asked anew before and found it at once. Found by reading. Measured: the consensus cases and "FAULT: an outage of the voters ..." pass.

--- a/src/consensus/proposer.cc
+++ b/src/consensus/proposer.cc
@@ -13,6 +13,8 @@
 
 // Between two searches for a view of which the first found nothing.
 constexpr microseconds shortest_search_pause = 50 * millisecond, longest_search_pause = 400 * millisecond;
+// How long a search waits for its answers; one that comes later is still learned from.
+constexpr microseconds search_timeout = 200 * millisecond;
 // Nodes that one search asks; there are many more stores than voters in a large fleet.
 constexpr std::size_t max_searched_nodes = 10;
 // How much longer than its own timeout a voter's reply is waited for.
@@ -32,14 +34,6 @@
   replies.push(std::move(received));
 }
 
-task<> request_view(rpc::endpoint endpoint, std::string address, std::string group,
-                    runtime::mailbox<std::string> views) {
-  rpc::identify_request request{group};
-  auto result = co_await endpoint.call(std::move(address), std::move(request), round_timeout);
-  auto* reply = std::get_if<rpc::identify_reply>(&result);
-  views.push(reply ? reply->view : std::string());
-}
-
 // Of the replies to a prepare or a read.
 struct accepted_value {
   std::optional<std::string> value;  // under the highest accepted ballot
@@ -190,6 +184,15 @@
   return addresses;
 }
 
+task<> proposer::state::ask_view(std::string address, runtime::mailbox<bool> answered) {
+  auto self = shared_from_this();
+  rpc::identify_request request{self->group};
+  auto result = co_await self->endpoint.call(std::move(address), std::move(request), round_timeout);
+  auto* reply = std::get_if<rpc::identify_reply>(&result);
+  if (reply && !reply->view.empty()) self->learn(view_from_text(reply->view));
+  answered.push(reply != nullptr);
+}
+
 task<> proposer::state::search_view() {
   auto self = shared_from_this();
   auto runtime = self->endpoint.runtime();
@@ -199,14 +202,13 @@
   if (self->search.earliest > runtime.now()) co_await runtime.sleep(self->search.earliest - runtime.now());
   auto addresses = self->addresses_to_search();
   std::int64_t known = self->current.number;
-  auto deadline = runtime.now() + 2 * round_timeout;
-  runtime::mailbox<std::string> views(runtime);
-  for (auto& address : addresses) runtime.spawn(request_view(self->endpoint, address, self->group, views));
+  auto deadline = runtime.now() + search_timeout;
+  runtime::mailbox<bool> answered(runtime);
+  for (auto& address : addresses) runtime.spawn(self->ask_view(address, answered));
   // One newer view is enough to go on with; voters correct it if there is a newer one still.
   for (std::size_t received = 0; received < addresses.size() && self->current.number == known; ++received) {
-    auto text = co_await views.pop(std::max<microseconds>(0, deadline - runtime.now()));
-    if (!text) break;
-    if (!text->empty()) self->learn(view_from_text(*text));
+    auto answer = co_await answered.pop(std::max<microseconds>(0, deadline - runtime.now()));
+    if (!answer) break;
   }
   self->end_search(self->current.number > known);
 }
--- a/src/consensus/proposer_state.h
+++ b/src/consensus/proposer_state.h
@@ -74,6 +74,8 @@
   // Begins a search for a newer view, unless one is under way.
   void start_search();
   runtime::task<> search_view();
+  // Learns the view that this node has installed.
+  runtime::task<> ask_view(std::string address, runtime::mailbox<bool> answered);
   // The voters of the known view, and others drawn from the seeds.
   std::vector<std::string> addresses_to_search();
   void end_search(bool found);
