--- a/src/rpc/message_value.cc
+++ b/src/rpc/message_value.cc
@@ -74,7 +74,7 @@
   auto& fields = message_value::class_behind(record).fields;
   if (index >= fields.size()) return EINVAL;
   auto* place = static_cast<char*>(const_cast<void*>(object)) + fields[index].offset;
-  *child = message_value::value_of(*fields[index].type, place);
+  *child = message_value::value_of(fields[index].type, place);
   return 0;
 }
 
--- a/src/rpc/message_value.h
+++ b/src/rpc/message_value.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
-#include <memory>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -21,26 +20,26 @@
 
 namespace herontally::rpc {
 
-struct value_class;
-
-// A member of a struct, at the place that the schema gives it.
-struct record_field {
-  std::size_t offset = 0;  // of the member in its struct
-  std::unique_ptr<value_class> type;
-};
+struct record_field;
 
 struct value_class {
   // First, since avro-c hands its address to each call.
   avro_value_iface_t calls{};
-  std::vector<record_field> fields;    // of a record
-  std::unique_ptr<value_class> items;  // of an array
+  std::vector<record_field> fields;  // of a record
+  std::vector<value_class> items;    // of an array: the class of its items
+};
+
+// A member of a struct, at the place that the schema gives it.
+struct record_field {
+  std::size_t offset = 0;  // of the member in its struct
+  value_class type;
 };
 
 // The bytes of a value; nothing if it holds what can't be sent: a text with a zero byte, or a value of an
 // enumeration that has no word.
-std::optional<std::string> write_value(const value_class& type, const void* value);
+std::optional<std::string> write_value(const value_class& type, const void* object);
 // Reads a value from the front of `bytes` into a new object; false if they hold none.
-bool read_value(const value_class& type, const std::string& bytes, void* value);
+bool read_value(const value_class& type, const std::string& bytes, void* object);
 
 // Classes of the basic types.
 value_class boolean_class();
@@ -86,7 +85,7 @@
                           avro_value_t* child, const char**) {
     auto& items = *static_cast<list*>(const_cast<void*>(object));
     if (index >= items.size()) return EINVAL;
-    *child = value_of(*class_behind(calls).items, &items[index]);
+    *child = value_of(class_behind(calls).items.front(), &items[index]);
     return 0;
   }
   static int append(const avro_value_iface_t* calls, void* object, avro_value_t* child, std::size_t* index) {
@@ -94,7 +93,7 @@
     if (items.size() >= max_array_length) return EINVAL;
     if (index) *index = items.size();
     items.emplace_back();
-    *child = value_of(*class_behind(calls).items, &items.back());
+    *child = value_of(class_behind(calls).items.front(), &items.back());
     return 0;
   }
 };
@@ -135,7 +134,7 @@
 
 template <class Value, class Struct>
 record_field make_field(const serialization::json_field<Struct, Value>& field, avro_schema_t schema) {
-  return {offset_of<Struct>(field), std::make_unique<value_class>(make_class<Value>(schema))};
+  return {offset_of<Struct>(field), make_class<Value>(schema)};
 }
 
 // The members in the order of the schema's fields; a member that this version of the schema lacks is left
@@ -146,7 +145,8 @@
   value_class made = record_class();
   for (std::size_t index = 0; index < avro_schema_record_size(schema); ++index) {
     const char* name = avro_schema_record_field_name(schema, static_cast<int>(index));
-    avro_schema_t field_schema = avro_schema_record_field_get_by_index(schema, static_cast<int>(index));
+    avro_schema_t field_schema =
+        resolved(avro_schema_record_field_get_by_index(schema, static_cast<int>(index)));
     auto add_if_named = [&](const auto& field) {
       if (std::strcmp(field.key, name) == 0) made.fields.push_back(make_field(field, field_schema));
     };
@@ -164,8 +164,7 @@
   made.calls.get_size = array_calls<List>::get_size;
   made.calls.get_by_index = array_calls<List>::get_by_index;
   made.calls.append = array_calls<List>::append;
-  made.items =
-      std::make_unique<value_class>(make_class<typename List::value_type>(avro_schema_array_items(schema)));
+  made.items.push_back(make_class<typename List::value_type>(resolved(avro_schema_array_items(schema))));
   return made;
 }
 
@@ -179,8 +178,7 @@
 }
 
 template <class Type>
-value_class make_class(avro_schema_t named) {
-  avro_schema_t schema = resolved(named);
+value_class make_class(avro_schema_t schema) {
   if constexpr (std::is_same_v<Type, std::string>) {
     require(is_avro_string(schema) || is_avro_bytes(schema));
     return is_avro_string(schema) ? string_class() : bytes_class();
