--- a/src/agent/node.cc
+++ b/src/agent/node.cc
@@ -2,6 +2,7 @@
 
 #include "agent/proxy_link.h"
 #include "http_api/responses.h"
+#include "runtime/listening.h"
 
 namespace herontally::agent {
 
@@ -39,13 +40,15 @@
 node::~node() = default;
 
 task<std::optional<std::string>> node::start() {
+  using runtime::listen_when_possible;
   auto self = state_;
   auto shared = self->shared;
   shared->endpoint.serve<rpc::config_update_request>(
       [link = self->proxy](rpc::config_update_request request) { return link->serve(std::move(request)); });
   shared->trace.serve(shared->endpoint, rpc::node_role::agent);
-  if (!shared->endpoint.listen(shared->node_settings.inner))
-    co_return "can't listen on the inner address: " + shared->node_settings.inner;
+  runtime::listener inner{"inner", shared->node_settings.inner,
+                          [shared] { return shared->endpoint.listen(shared->node_settings.inner); }};
+  co_await listen_when_possible(shared->runtime, shared->logger, std::move(inner));
   shared->members.start();
   shared->runtime.spawn(self->feed->poll_cores());
   shared->runtime.spawn(self->feed->poll_peers());
@@ -55,8 +58,10 @@
   auto pages = [weak](runtime::inbound_request request, http_api::writer out) {
     if (auto here = weak.lock()) here->serve_http(request, out);
   };
-  if (!shared->runtime.http_serve(shared->node_settings.http, pages))
-    co_return "can't listen on the http address: " + shared->node_settings.http;
+  runtime::listener http{"http", shared->node_settings.http, [shared, pages] {
+                           return shared->runtime.http_serve(shared->node_settings.http, pages);
+                         }};
+  shared->runtime.spawn(listen_when_possible(shared->runtime, shared->logger, std::move(http)));
   shared->logger.info("started");
   co_return std::nullopt;
 }
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -6,6 +6,7 @@
 #include "control_node/group_founder.h"
 #include "control_node/operator_api.h"
 #include "control_node/platform_operator_api.h"
+#include "runtime/listening.h"
 
 namespace herontally::control_node {
 
@@ -159,8 +160,12 @@
 }
 
 task<std::optional<std::string>> node::start() {
+  using runtime::listen_when_possible;
   auto self = state_;
-  auto& node_settings = self->shared->node_settings;
+  auto shared = self->shared;
+  auto handle = shared->runtime;
+  auto logger = shared->logger;
+  auto& node_settings = shared->node_settings;
   self->set_seeds();
   auto fault = co_await self->voter.open();
   if (fault == replication::open_error::failed)
@@ -168,13 +173,16 @@
   auto& installed = self->voter.current_view();
   if (installed.number > 0) self->shared->catalog.learn_view(installed);
   self->serve_requests();
+  runtime::listener inner{"inner", node_settings.inner,
+                          [shared] { return shared->endpoint.listen(shared->node_settings.inner); }};
+  co_await listen_when_possible(handle, logger, std::move(inner));
   self->shared->members.start();
-  // Listen only now: from here on every kind of message has its handler.
-  if (!self->shared->endpoint.listen(node_settings.inner))
-    co_return "can't listen on the inner address: " + node_settings.inner;
   self->start_tasks();
-  if (!self->serve_http()) co_return "can't listen on the http address: " + node_settings.http;
-  if (!self->serve_control()) co_return "can't listen on the control address: " + node_settings.control;
+  // Operators are served as soon as their addresses are free; the register doesn't wait for that.
+  runtime::listener http{"http", node_settings.http, [self] { return self->serve_http(); }};
+  handle.spawn(listen_when_possible(handle, logger, std::move(http)));
+  runtime::listener control{"control", node_settings.control, [self] { return self->serve_control(); }};
+  handle.spawn(listen_when_possible(handle, logger, std::move(control)));
   self->shared->logger.info("started", {{"voter", self->voter.id()}});
   co_return std::nullopt;
 }
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -5,6 +5,7 @@
 #include "proxy/platform_ingress.h"
 #include "proxy/program_page.h"
 #include "proxy/turn_handler.h"
+#include "runtime/listening.h"
 
 namespace herontally::proxy {
 
@@ -91,28 +92,31 @@
 }
 
 task<std::optional<std::string>> node::start() {
+  using runtime::listen_when_possible;
   auto self = state_;
   auto shared = self->shared;
   self->set_seeds();
   self->watch_engines();
   if (self->ingress) {
-    auto error = self->ingress->start();
-    if (error) co_return error;
+    co_await self->ingress->start();
   } else {
     shared->engines.start();
   }
   shared->runtime.spawn(self->follower->run());
-  if (!shared->endpoint.listen(shared->node_settings.inner))
-    co_return "can't listen on the inner address: " + shared->node_settings.inner;
   shared->trace.serve(shared->endpoint, rpc::node_role::proxy);
+  runtime::listener inner{"inner", shared->node_settings.inner,
+                          [shared] { return shared->endpoint.listen(shared->node_settings.inner); }};
+  shared->runtime.spawn(listen_when_possible(shared->runtime, shared->logger, std::move(inner)));
   auto serve = [weak = std::weak_ptr<state>(self)](runtime::inbound_request request, http_api::writer out) {
     auto locked = weak.lock();
     if (!locked) return;
     auto& shared = *locked->shared;
     shared.runtime.spawn(http_api::serve_guarded(locked->serve(std::move(request), out), out, shared.logger));
   };
-  if (!shared->runtime.http_serve(shared->node_settings.http, serve))
-    co_return "can't listen on the http address: " + shared->node_settings.http;
+  runtime::listener http{"http", shared->node_settings.http, [shared, serve] {
+                           return shared->runtime.http_serve(shared->node_settings.http, serve);
+                         }};
+  shared->runtime.spawn(listen_when_possible(shared->runtime, shared->logger, std::move(http)));
   shared->logger.info("started", {{"agent", shared->node_settings.agent}});
   co_return std::nullopt;
 }
--- a/src/proxy/platform_ingress.cc
+++ b/src/proxy/platform_ingress.cc
@@ -1,5 +1,7 @@
 #include "proxy/platform_ingress.h"
 
+#include "runtime/listening.h"
+
 namespace herontally::proxy {
 
 namespace {
@@ -33,11 +35,12 @@
   return router_.ready() && context_->stores.current_view().number > 0;
 }
 
-std::optional<std::string> platform_ingress::start() {
+task<> platform_ingress::start() {
+  using runtime::listen_when_possible;
   quotas_.start();
   std::weak_ptr<platform_ingress> weak = weak_from_this();
-  auto& node_settings = context_->node_settings;
-  auto& runtime = context_->runtime;
+  auto shared = context_;
+  auto& node_settings = shared->node_settings;
   auto serve_client = [weak](runtime::inbound_request request, http_api::writer out) {
     auto self = weak.lock();
     if (!self) return;
@@ -45,8 +48,10 @@
     shared.runtime.spawn(
         http_api::serve_guarded(self->router_.serve(std::move(request), out), out, shared.logger));
   };
-  if (!runtime.http_serve(node_settings.ingress, serve_client))
-    return "can't listen on the ingress address: " + node_settings.ingress;
+  runtime::listener ingress{"ingress", node_settings.ingress, [shared, serve_client] {
+                              return shared->runtime.http_serve(shared->node_settings.ingress, serve_client);
+                            }};
+  co_await listen_when_possible(shared->runtime, shared->logger, std::move(ingress));
   auto serve_readiness = [weak](runtime::inbound_request request, http_api::writer out) {
     auto self = weak.lock();
     if (!self) return;
@@ -55,9 +60,11 @@
     if (request.path != self->context_->platform.adapter->ready_path) response.status = 404;
     out->reply(std::move(response));
   };
-  if (!runtime.http_serve(node_settings.readiness, serve_readiness))
-    return "can't listen on the readiness address: " + node_settings.readiness;
-  return std::nullopt;
+  runtime::listener readiness{"readiness", node_settings.readiness, [shared, serve_readiness] {
+                                return shared->runtime.http_serve(shared->node_settings.readiness,
+                                                                  serve_readiness);
+                              }};
+  co_await listen_when_possible(shared->runtime, shared->logger, std::move(readiness));
 }
 
 void platform_ingress::apply_update(const rpc::config_update_reply& reply, update_changes changed) {
--- a/src/proxy/platform_ingress.h
+++ b/src/proxy/platform_ingress.h
@@ -9,9 +9,8 @@
 class platform_ingress : public std::enable_shared_from_this<platform_ingress> {
  public:
   explicit platform_ingress(std::shared_ptr<context> shared);
-  // Listens on the ingress and readiness addresses of the settings. Returns an error message if one of them
-  // can't be listened on, otherwise nullopt.
-  std::optional<std::string> start();
+  // Completes once it listens at the ingress and readiness addresses of the settings.
+  task<> start();
   // Passes an update from the agent on to the router and the quotas. Called by config_follower.
   void apply_update(const rpc::config_update_reply& reply, update_changes changed);
   // Stops accepting work and completes once no request has been in flight and no connection open for a short
--- a/src/runtime/rpc_channels.cc
+++ b/src/runtime/rpc_channels.cc
@@ -230,7 +230,10 @@
     auto* listener = evconnlistener_new_bind(transport->base, on_accept, transport->handlers.back().get(),
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 512,
                                              reinterpret_cast<sockaddr*>(&socket_address), length);
-    if (!listener) return false;
+    if (!listener) {
+      transport->handlers.pop_back();
+      return false;
+    }
     set_connection_options(evconnlistener_get_fd(listener));
     transport->listeners.push_back(listener);
     return true;
--- a/src/runtime/socket_options.cc
+++ b/src/runtime/socket_options.cc
@@ -33,6 +33,9 @@
 
 void set_connection_options(int descriptor) {
   set_no_delay(descriptor);
+  // An outgoing connection may get a local port that a node of this machine is to listen at. Without this
+  // option on both sockets the node couldn't listen until the connection has ended.
+  evutil_make_listen_socket_reuseable(descriptor);
   // A machine that lost power sends no FIN or RST: the connection ends when sent data stays unacknowledged
   // for this long.
   unsigned int silence_milliseconds = 2000;
--- a/src/storage_node/node.cc
+++ b/src/storage_node/node.cc
@@ -3,6 +3,7 @@
 #include "http_api/responses.h"
 #include "membership/member_list.h"
 #include "replication/voter.h"
+#include "runtime/listening.h"
 #include "storage_node/expiry.h"
 
 namespace herontally::storage_node {
@@ -56,6 +57,7 @@
 node::~node() = default;
 
 task<std::optional<std::string>> node::start() {
+  using runtime::listen_when_possible;
   auto self = state_;
   std::weak_ptr<state> weak = self;
   self->voter.on_view([weak](const consensus::view& installed) {
@@ -65,20 +67,21 @@
   if (opened == replication::open_error::failed)
     co_return std::string("can't read or write the data folder: ") + self->config.data;
   if (self->voter.current_view().number > 0) self->group.learn_view(self->voter.current_view());
+  runtime::listener inner{"inner", self->config.inner,
+                          [self] { return self->endpoint.listen(self->config.inner); }};
+  co_await listen_when_possible(self->runtime, self->logger, std::move(inner));
   self->members.start();
-  // Listens only from here on, when messages of every kind can be answered.
-  if (!self->endpoint.listen(self->config.inner))
-    co_return "can't listen on the inner address: " + self->config.inner;
   self->runtime.spawn(self->voter.repair_forever());
   self->runtime.spawn(expire_forever(self->voter, self->group, self->members));
   self->runtime.spawn(state::watch_forever(self));
-  bool served = self->runtime.http_serve(
-      self->config.http, [weak](runtime::inbound_request request, http_api::writer out) {
-        auto locked = weak.lock();
-        if (!locked || http_api::serve_common_endpoints(request, out, locked->logger, locked->ready)) return;
-        http_api::reject(out, 404, "no such page", http_api::executed::no);
-      });
-  if (!served) co_return "can't listen on the http address: " + self->config.http;
+  auto serve = [weak](runtime::inbound_request request, http_api::writer out) {
+    auto locked = weak.lock();
+    if (!locked || http_api::serve_common_endpoints(request, out, locked->logger, locked->ready)) return;
+    http_api::reject(out, 404, "no such page", http_api::executed::no);
+  };
+  runtime::listener http{"http", self->config.http,
+                         [self, serve] { return self->runtime.http_serve(self->config.http, serve); }};
+  self->runtime.spawn(listen_when_possible(self->runtime, self->logger, std::move(http)));
   self->logger.info("started", {{"voter", self->voter.id()}, {"keys", self->voter.records().record_count()}});
   co_return std::nullopt;
 }
