--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -167,9 +167,7 @@
   auto logger = shared->logger;
   auto& node_settings = shared->node_settings;
   self->set_seeds();
-  auto fault = co_await self->voter.open();
-  if (fault == replication::open_error::failed)
-    co_return "can't read or write the data folder: " + node_settings.data;
+  co_await self->voter.open_when_possible();
   auto& installed = self->voter.current_view();
   if (installed.number > 0) self->shared->catalog.learn_view(installed);
   self->serve_requests();
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -4,6 +4,7 @@
 #include "replication/catch_up.h"
 #include "replication/repair.h"
 #include "replication/view_installer.h"
+#include "runtime/retry_log.h"
 
 namespace herontally::replication {
 
@@ -81,6 +82,9 @@
 task<std::optional<open_error>> voter::open() {
   auto self = state_;
   auto shared = self->shared;
+  auto not_acquired = shared->endpoint.runtime().table().disk.acquire();
+  if (not_acquired == runtime::disk_error::in_use) co_return open_error::in_use;
+  if (not_acquired) co_return open_error::failed;
   auto found = shared->records.recover();
   if (found.failed) co_return open_error::failed;
   for (auto& text : found.views) {
@@ -105,6 +109,22 @@
   co_return std::nullopt;
 }
 
+task<> voter::open_when_possible() {
+  constexpr runtime::microseconds retry_period = 500 * runtime::millisecond;
+  auto self = *this;
+  auto& endpoint = self.state_->shared->endpoint;
+  auto runtime = endpoint.runtime();
+  runtime::retry_log log(runtime, endpoint.logger(), "opening the data folder",
+                         {{"group", self.state_->shared->group}});
+  auto error = co_await self.open();
+  while (error == open_error::failed || error == open_error::in_use) {
+    log.failed(error == open_error::in_use ? "another process uses it" : "it can't be read or written");
+    co_await runtime.sleep(retry_period);
+    error = co_await self.open();
+  }
+  log.succeeded();
+}
+
 task<bool> voter::install(view chosen) { return state_->installer.install(std::move(chosen)); }
 
 task<> voter::repair_forever() { return replication::repair_forever(state_->shared); }
--- a/src/replication/voter.h
+++ b/src/replication/voter.h
@@ -14,6 +14,7 @@
 // Errors of voter::open.
 enum class open_error {
   failed,   // the disk can't be read or written; the voter doesn't serve requests
+  in_use,   // another process has locked the disk; the voter doesn't serve requests
   corrupt,  // acknowledged records were lost; the voter serves requests, empty and under a new identity
 };
 
@@ -23,8 +24,11 @@
 class voter {
  public:
   voter(rpc::endpoint endpoint, voter_options options);
-  // Reads the disk, creates an identity if it is empty, and starts to serve requests. Nullopt on success.
+  // Reads the disk, creates an identity if it is empty, and starts to serve requests. Nullopt on success. After
+  // `failed` or `in_use` it may be called again.
   runtime::task<std::optional<open_error>> open();
+  // Opens the voter, and retries while the disk can't be read or written or another process uses it.
+  runtime::task<> open_when_possible();
   // The identity by which views name this voter.
   const std::string& id() const;
   // The installed view; number 0 if there is none.
--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -21,8 +21,9 @@
 
 // Why a call got no reply; `oversized`: the message exceeds the maximum frame size and was not sent.
 enum class channel_error { unreachable, timed_out, closed, oversized };
-// `full`: no space or quota left; `missing`: the file does not exist.
-enum class disk_error { failed, full, missing };
+// `full`: no space or quota left; `missing`: the file does not exist; `in_use`: another process has locked
+// the data directory.
+enum class disk_error { failed, full, missing, in_use };
 
 // The reply to a message, or why there is none.
 using call_outcome = std::variant<std::string, channel_error>;
@@ -112,6 +113,9 @@
 
 // Files by name in one data directory. Changes are durable only after `sync`.
 struct disk_table {
+  // Creates the data directory if needed and locks it for this process. Called before any other function.
+  // After an error it may be called again.
+  std::function<std::optional<disk_error>()> acquire;
   // Reads up to `length` bytes from `offset`; fewer only at the end of the file.
   std::function<std::variant<std::string, disk_error>(const std::string&, std::uint64_t offset,
                                                       std::size_t length)>
--- a/src/runtime/data_files.cc
+++ b/src/runtime/data_files.cc
@@ -2,6 +2,7 @@
 // and, when the file is new, of the directory.
 #include <errno.h>
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -12,7 +13,10 @@
 namespace herontally::runtime {
 
 namespace {
-disk_error from_errno() { return errno == ENOSPC || errno == EDQUOT ? disk_error::full : disk_error::failed; }
+// EFBIG: the process's limit of file sizes.
+disk_error from_errno() {
+  return errno == ENOSPC || errno == EDQUOT || errno == EFBIG ? disk_error::full : disk_error::failed;
+}
 
 std::optional<disk_error> write_all(const std::string& path, int flags, const std::string& bytes) {
   int file = open(path.c_str(), flags | O_CLOEXEC, 0600);
@@ -61,10 +65,60 @@
   close(file);
   return error;
 }
+std::string parent_of(const std::string& path) {
+  auto slash = path.find_last_of('/');
+  if (slash == std::string::npos) return ".";
+  return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+// Creates one directory and makes its entry in the parent durable.
+std::optional<disk_error> create_directory(const std::string& path) {
+  if (mkdir(path.c_str(), 0700) == 0) return sync_path(parent_of(path), O_RDONLY | O_DIRECTORY);
+  return errno == EEXIST ? std::nullopt : std::optional<disk_error>(from_errno());
+}
+
+std::optional<disk_error> create_directories(const std::string& path) {
+  struct stat status {};
+  if (stat(path.c_str(), &status) == 0) return std::nullopt;
+  for (auto slash = path.find('/', 1); slash != std::string::npos; slash = path.find('/', slash + 1)) {
+    auto ancestor = path.substr(0, slash);
+    if (stat(ancestor.c_str(), &status) == 0) continue;
+    if (auto error = create_directory(ancestor)) return error;
+  }
+  return create_directory(path);
+}
+
+// The locked file of a data directory. The kernel releases the lock when the process ends, however it ends.
+class directory_lock {
+ public:
+  directory_lock() = default;
+  directory_lock(const directory_lock&) = delete;
+  ~directory_lock() {
+    if (file_ >= 0) close(file_);
+  }
+  std::optional<disk_error> acquire(const std::string& directory) {
+    if (file_ >= 0) return std::nullopt;
+    int file = open((directory + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (file < 0) return from_errno();
+    // A file system without locks is used without one.
+    if (flock(file, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK) {
+      close(file);
+      return disk_error::in_use;
+    }
+    file_ = file;
+    return std::nullopt;
+  }
+
+ private:
+  int file_ = -1;
+};
 }  // namespace
 
 void bind_files(std::string directory, backend& table) {
-  if (!directory.empty()) mkdir(directory.c_str(), 0700);
+  table.disk.acquire = [directory, lock = std::make_shared<directory_lock>()]() -> std::optional<disk_error> {
+    if (auto error = create_directories(directory)) return error;
+    return lock->acquire(directory);
+  };
   auto synced_entries = std::make_shared<std::set<std::string>>();
   auto path = [directory](const std::string& name) { return directory + "/" + name; };
   table.disk.read_at = [path](const std::string& name, std::uint64_t offset, std::size_t length) {
--- a/src/simulator/world_disk.cc
+++ b/src/simulator/world_disk.cc
@@ -66,6 +66,10 @@
     auto world = weak.lock();
     return world ? &world->machines.at(name)->disk : nullptr;
   };
+  backend.disk.acquire = [disk_of]() -> std::optional<rt::disk_error> {
+    auto* disk = disk_of();
+    return disk && !disk->failing ? std::nullopt : std::optional(rt::disk_error::failed);
+  };
   bind_disk_reads(disk_of, backend);
   bind_disk_writes(disk_of, backend);
   backend.disk.sync = [weak, disk_of, name, life](const std::string& file,
--- a/src/storage_node/node.cc
+++ b/src/storage_node/node.cc
@@ -63,9 +63,7 @@
   self->voter.on_view([weak](const consensus::view& installed) {
     if (auto locked = weak.lock()) locked->group.learn_view(installed);
   });
-  auto opened = co_await self->voter.open();
-  if (opened == replication::open_error::failed)
-    co_return std::string("can't read or write the data folder: ") + self->config.data;
+  co_await self->voter.open_when_possible();
   if (self->voter.current_view().number > 0) self->group.learn_view(self->voter.current_view());
   runtime::listener inner{"inner", self->config.inner,
                           [self] { return self->endpoint.listen(self->config.inner); }};
--- a/tests/listening_test.cc
+++ b/tests/listening_test.cc
@@ -128,3 +128,26 @@
   close(accepted);
   runtime.stop();
 }
+
+TEST_CASE("FAULT: a data directory is created with its parents, and two processes don't use it at once") {
+  temporary_directory directory;
+  auto path = directory.path + "/several/levels/deep";
+  auto first = std::make_unique<runtime::event_loop>(path);
+  REQUIRE_FALSE(first->runtime().table().disk.acquire());
+  REQUIRE_FALSE(first->runtime().table().disk.append("file", "bytes"));
+  runtime::event_loop second(path);
+  REQUIRE(second.runtime().table().disk.acquire() == runtime::disk_error::in_use);
+  REQUIRE(second.runtime().table().disk.acquire() == runtime::disk_error::in_use);
+  first.reset();
+  REQUIRE_FALSE(second.runtime().table().disk.acquire());
+}
+
+TEST_CASE("FAULT: a data directory below a file is an error until the file is gone") {
+  temporary_directory directory;
+  auto obstacle = directory.path + "/data";
+  fclose(fopen(obstacle.c_str(), "w"));
+  runtime::event_loop loop(obstacle + "/core");
+  REQUIRE(loop.runtime().table().disk.acquire() == runtime::disk_error::failed);
+  std::filesystem::remove(obstacle);
+  REQUIRE_FALSE(loop.runtime().table().disk.acquire());
+}
