--- a/src/control_node/group_founder.cc
+++ b/src/control_node/group_founder.cc
@@ -18,6 +18,7 @@
 constexpr microseconds completion_check_period = 500 * millisecond;
 constexpr microseconds identify_timeout = 500 * millisecond;
 constexpr microseconds write_timeout = 2 * second;
+constexpr microseconds missing_group_report_period = 5 * second;
 
 // How long the number of storage machines must have stayed the same before a first view is made of them:
 // shorter if the voters cover the loss budget, longest if they can't tolerate any loss.
@@ -30,11 +31,11 @@
 
 }  // namespace
 
-// The seeds as voters; nothing until the membership knows them all. The first view must be the same whichever
-// core writes it, so it contains only what every core is certain to know alike.
+// The seeds of the first start as voters; nothing until the membership knows them all. The first view must be
+// the same whichever core writes it, so it contains only what every core is certain to know alike.
 std::optional<std::vector<voter_info>> group_founder::initial_core_voters() const {
   std::vector<voter_info> founders;
-  for (auto& address : context_->node_settings.seeds) {
+  for (auto& address : voter_.claim().seeds) {
     voter_info founder{"", address, "", ""};
     for (auto& member : context_->members.all()) {
       if (member.role != rpc::node_role::core || member.inner != address) continue;
@@ -49,9 +50,32 @@
   return founders;
 }
 
+// A seed without the claim may have lost a disk that held the group's first view. Were it founded again
+// without that, there would be two groups.
+task<bool> group_founder::confirm_claims() {
+  auto self = shared_from_this();
+  auto shared = self->context_;
+  auto claim = self->voter_.claim();
+  for (auto& address : claim.seeds) {
+    rpc::founding_claim_request request{core_group};
+    auto result = co_await shared->endpoint.call(address, std::move(request), identify_timeout);
+    auto* reply = std::get_if<rpc::founding_claim_reply>(&result);
+    if (reply && reply->seeds == claim.seeds) continue;
+    auto* reason = reply ? "a seed has no claim from the first start" : "a seed can't be reached";
+    self->founding_log_.failed(std::string(reason) + ": " + address);
+    co_return false;
+  }
+  co_return true;
+}
+
 task<> group_founder::try_bootstrap_core_group(std::vector<voter_info> founders) {
   auto self = shared_from_this();
   auto shared = self->context_;
+  bool confirmed = co_await self->confirm_claims();
+  if (!confirmed) {
+    co_await shared->runtime.sleep(retry_delay);
+    co_return;
+  }
   auto result = co_await reconfiguration::bootstrap_group(shared->endpoint, core_group, founders,
                                                           shared->runtime.now() + bootstrap_timeout);
   if (auto* first = std::get_if<view>(&result)) {
@@ -65,6 +89,8 @@
   if (refused) co_await shared->runtime.sleep(retry_delay);
 }
 
+// Without a claim this core waits to be added to a group, as every machine that joins later.
+//
 // Several cores that bootstrap at once, or one that fails half-way, can't create a second group: all have the
 // same seeds, and a voter keeps its identity from its first start on, so all of them write the same first
 // view. A voter installs a first view only while it has none and never replaces it by another first view; a
@@ -73,9 +99,9 @@
 task<> group_founder::found_core_group() {
   auto self = shared_from_this();
   auto shared = self->context_;
-  auto& seeds = shared->node_settings.seeds;
+  auto& seeds = self->voter_.claim().seeds;
   auto position = std::find(seeds.begin(), seeds.end(), shared->node_settings.inner);
-  if (!shared->node_settings.may_found_groups || position == seeds.end()) co_return;
+  if (position == seeds.end()) co_return;
   auto start_delay = (position - seeds.begin()) * start_stagger;
   microseconds all_known_since = -1;
   while (self->voter_.current_view().number == 0) {
@@ -89,6 +115,20 @@
   }
 }
 
+// Why no configuration can be read or changed yet: on a machine that waits, nothing else tells.
+task<> group_founder::report_missing_group() {
+  auto self = shared_from_this();
+  auto shared = self->context_;
+  while (true) {
+    co_await shared->runtime.sleep(missing_group_report_period);
+    if (shared->catalog.current_view().number > 0) co_return;
+    shared->logger.warn("no core group is known",
+                        {{"has_claim", !self->voter_.claim().seeds.empty()},
+                         {"cores_known", shared->members.live(rpc::node_role::core).size()},
+                         {"seeds", shared->node_settings.seeds}});
+  }
+}
+
 // Writes the installed first view into its register, since the core that installed it may have failed before
 // it did so. Moves begin only from a view in the register: while there is none, no move can have been made,
 // and the installed view is the first and only one.
--- a/src/control_node/group_founder.h
+++ b/src/control_node/group_founder.h
@@ -4,16 +4,21 @@
 #pragma once
 #include "control_node/voter_group_manager.h"
 #include "replication/voter.h"
+#include "runtime/retry_log.h"
 
 namespace herontally::control_node {
 
 class group_founder : public std::enable_shared_from_this<group_founder> {
  public:
   group_founder(std::shared_ptr<context> shared, replication::voter voter)
-      : context_(std::move(shared)), voter_(std::move(voter)) {}
-  // Bootstraps the core group if the settings say that this is the first start and this node is a seed; ends
-  // at once otherwise. Ends when this core has a view.
+      : context_(std::move(shared)),
+        voter_(std::move(voter)),
+        founding_log_(context_->runtime, context_->logger, "founding the core group", {}) {}
+  // Bootstraps the core group if this core's voter has a claim to found it; ends at once otherwise. Ends when
+  // this core has a view.
   task<> found_core_group();
+  // Logs periodically, until a core group is known, that there is none.
+  task<> report_missing_group();
   // Completes what an interrupted bootstrap may have left undone, while this node owns the voter groups role.
   // Ends when both groups have their first view.
   task<> finish_founding();
@@ -21,6 +26,7 @@
  private:
   using voter_info = consensus::voter_info;
   std::optional<std::vector<voter_info>> initial_core_voters() const;
+  task<bool> confirm_claims();
   task<> try_bootstrap_core_group(std::vector<voter_info> founders);
   task<bool> write_core_view();
   task<std::vector<voter_info>> initial_storage_voters();
@@ -29,7 +35,8 @@
   task<bool> bootstrap_storage_group();
 
   std::shared_ptr<context> context_;
-  replication::voter voter_;                     // of this node
+  replication::voter voter_;  // of this node
+  runtime::retry_log founding_log_;
   std::size_t storage_count_ = 0;                // storage machines that were alive at the last check
   microseconds storage_count_stable_since_ = 0;  // since when that number is the same
 };
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -126,6 +126,7 @@
   if (shared->platform_adapter) {
     runtime.spawn(poller->run());
     runtime.spawn(founder->found_core_group());
+    runtime.spawn(founder->report_missing_group());
   } else {
     runtime.spawn(edges->run());
     runtime.spawn(poller->run());
@@ -159,6 +160,14 @@
   return shared->runtime.http_serve(shared->node_settings.control, serve);
 }
 
+// The settings give a claim to the seeds, at the first start of the whole system.
+static replication::founding_claim claim_of(const settings::settings& node_settings) {
+  auto& seeds = node_settings.seeds;
+  bool is_seed = std::find(seeds.begin(), seeds.end(), node_settings.inner) != seeds.end();
+  if (!node_settings.may_found_groups || !is_seed) return {};
+  return {seeds};
+}
+
 task<std::optional<std::string>> node::start() {
   using runtime::listen_when_possible;
   auto self = state_;
@@ -167,6 +176,7 @@
   auto logger = shared->logger;
   auto& node_settings = shared->node_settings;
   self->set_seeds();
+  self->voter.offer_claim(claim_of(node_settings));
   co_await self->voter.open_when_possible();
   auto& installed = self->voter.current_view();
   if (installed.number > 0) self->shared->catalog.learn_view(installed);
--- a/src/replica_storage/cell.h
+++ b/src/replica_storage/cell.h
@@ -42,9 +42,10 @@
 // Records that are written and removed with every turn of a program.
 constexpr std::string_view program_record_prefix = "k/program/";
 constexpr std::string_view turn_record_prefix = "c/turn/";
-// A voter's identity and its installed view, stored in every bucket.
+// A voter's identity, its installed view and its founding claim, stored in every bucket.
 constexpr const char* identity_record = "@voter";
 constexpr const char* view_record = "@view";
+constexpr const char* founding_claim_record = "@founding";
 
 inline std::string register_record(const std::string& key) { return std::string(register_prefix) + key; }
 inline std::string content_record(const std::string& digest) { return std::string(content_prefix) + digest; }
--- a/src/replica_storage/record_store.cc
+++ b/src/replica_storage/record_store.cc
@@ -98,6 +98,7 @@
     if (fault == storage::error::corrupt) found.corrupt = true;
     found.identities.insert(each->store.read(identity_record).value_or(""));
     if (auto view = each->store.read(view_record)) found.views.push_back(*view);
+    if (auto claim = each->store.read(founding_claim_record)) found.founding_claim = *claim;
   }
   return found;
 }
@@ -107,31 +108,32 @@
   state_->started = true;
 }
 
-task<bool> record_store::state::reset_bucket(bucket* owned, std::string identity) {
+task<bool> record_store::state::reset_bucket(bucket* owned, voter_records begun) {
   auto failed = co_await owned->store.wipe();
   if (failed) co_return false;
   std::vector<storage::change> changes;
-  changes.push_back({identity_record, identity});
+  changes.push_back({identity_record, begun.identity});
+  if (!begun.founding_claim.empty()) changes.push_back({founding_claim_record, begun.founding_claim});
   failed = co_await owned->store.commit(std::move(changes), true);
   co_return !failed;
 }
 
-task<bool> record_store::reset(std::string identity) {
+task<bool> record_store::reset(voter_records begun) {
   auto self = state_;
   self->pending_turns.clear();
   bool all = true;
   for (auto& each : self->buckets) {
     auto* owned = each.get();
     if (!self->started) {
-      bool done = co_await self->reset_bucket(owned, identity);
+      bool done = co_await self->reset_bucket(owned, begun);
       all = all && done;
       continue;
     }
     // Once the owners run, only they may write, so that the reset is queued as a command.
     runtime::slot<bool> finished(self->runtime);
     command reset;
-    reset.exclusive = [self, owned, identity, finished]() -> task<> {
-      bool done = co_await self->reset_bucket(owned, identity);
+    reset.exclusive = [self, owned, begun, finished]() -> task<> {
+      bool done = co_await self->reset_bucket(owned, begun);
       finished.set(done);
     };
     owned->push(std::move(reset));
--- a/src/replica_storage/record_store.h
+++ b/src/replica_storage/record_store.h
@@ -66,6 +66,13 @@
   bool corrupt = false;              // some bucket has lost acknowledged records
   std::set<std::string> identities;  // of all buckets; an empty string for a bucket without an identity
   std::vector<std::string> views;    // the installed views as text, from the buckets that have one
+  std::string founding_claim;        // as text; empty: none
+};
+
+// What a voter stores of itself in every bucket when it begins empty.
+struct voter_records {
+  std::string identity;
+  std::string founding_claim;  // as text; empty: none
 };
 
 // The records of one voter. Copies share their state.
@@ -73,13 +80,13 @@
  public:
   record_store(runtime::handle runtime, logging::logger logger, record_store_options options);
 
-  // Reads all buckets. Called once, before anything else.
+  // Reads all buckets. Called before anything else, and again only after a failure.
   recovered_records recover();
   // Starts the tasks that own the buckets; commands are run from here on. Called once, after `recover`.
   void start();
-  // Removes all records and stores this identity in every bucket; false if a write failed. May also be called
-  // before `start`.
-  runtime::task<bool> reset(std::string identity);
+  // Removes all records and stores these in every bucket; false if a write failed. May also be called before
+  // `start`.
+  runtime::task<bool> reset(voter_records begun);
 
   // Whether a command of this size may be queued without exceeding `max_pending_bytes`. The last quarter of
   // the limit is reserved for urgent commands, which finish operations already begun.
--- a/src/replica_storage/record_store_state.h
+++ b/src/replica_storage/record_store_state.h
@@ -33,8 +33,8 @@
   // Commits the commands in one batch or, if there is no capacity for all, the urgent ones first on their
   // own.
   runtime::task<> commit_by_urgency(bucket* owned, std::vector<command> commands, std::size_t bytes);
-  // Wipes the bucket and stores the identity in it; false if a write failed.
-  runtime::task<bool> reset_bucket(bucket* owned, std::string identity);
+  // Wipes the bucket and stores the voter's records in it, in one commit; false if a write failed.
+  runtime::task<bool> reset_bucket(bucket* owned, voter_records begun);
 };
 
 }  // namespace herontally::replica_storage
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "consensus/view.h"
 #include "replica_storage/record_store.h"
+#include "replication/founding_claim.h"
 #include "rpc/endpoint.h"
 
 namespace herontally::replication {
@@ -13,6 +14,7 @@
   std::string group;
   replica_storage::record_store records;
   std::string identity;
+  founding_claim claim;
   consensus::view current_view;
   std::string current_view_text;  // sent with each refusal; empty while no view is installed
   bool opened = false;            // the disk has been read, so requests may be answered
@@ -32,8 +34,8 @@
   }
 };
 
-// Removes all records and the view and sets a new identity. True once that is durable, false if the disk
-// failed.
-runtime::task<bool> reset(std::shared_ptr<replica> self);
+// Removes all records and the view and sets a new identity and this claim. True once that is durable, false
+// if the disk failed.
+runtime::task<bool> reset(std::shared_ptr<replica> self, founding_claim claim);
 
 }  // namespace herontally::replication
--- a/src/replication/view_installer.cc
+++ b/src/replication/view_installer.cc
@@ -8,12 +8,16 @@
 using rpc::reply_status;
 using runtime::task;
 
-task<bool> reset(std::shared_ptr<replica> self) {
+task<bool> reset(std::shared_ptr<replica> self, founding_claim claim) {
   self->set_view(view{});
+  self->claim = std::move(claim);
   if (self->on_reset) self->on_reset();
   auto runtime = self->endpoint.runtime();
   self->identity = broken("identity") ? self->endpoint.sender() : runtime.random_name();
-  bool done = co_await self->records.reset(self->identity);
+  replica_storage::voter_records begun;
+  begun.identity = self->identity;
+  if (!self->claim.seeds.empty()) begun.founding_claim = to_text(self->claim);
+  bool done = co_await self->records.reset(std::move(begun));
   self->endpoint.logger().info("voter begins empty", {{"group", self->group}, {"voter", self->identity}});
   co_return done;
 }
@@ -21,7 +25,8 @@
 task<bool> view_installer::wipe() {
   auto self = replica_;
   self->wiping = true;
-  bool done = co_await reset(self);
+  founding_claim no_claim;
+  bool done = co_await reset(self, no_claim);
   self->wiping = !done;
   co_return done;
 }
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -15,6 +15,7 @@
   std::shared_ptr<replica> shared;
   view_installer installer;
   std::shared_ptr<catch_up> catch_up_service;
+  founding_claim offered_claim;
 
   state(rpc::endpoint endpoint, voter_options options)
       : shared(std::make_shared<replica>(std::move(endpoint), std::move(options))),
@@ -30,6 +31,8 @@
     : state_(std::make_shared<state>(std::move(endpoint), std::move(options))) {}
 
 const std::string& voter::id() const { return state_->shared->identity; }
+void voter::offer_claim(founding_claim claim) { state_->offered_claim = std::move(claim); }
+const founding_claim& voter::claim() const { return state_->shared->claim; }
 const view& voter::current_view() const { return state_->shared->current_view; }
 const replica_storage::record_store& voter::records() const { return state_->shared->records; }
 void voter::on_view(std::function<void(const view&)> handler) {
@@ -68,6 +71,12 @@
   endpoint.serve<rpc::identify_request>([self](rpc::identify_request request) -> task<rpc::identify_reply> {
     co_return identify(*self, request);
   });
+  endpoint.serve<rpc::founding_claim_request>(
+      [self](rpc::founding_claim_request request) -> task<rpc::founding_claim_reply> {
+        rpc::founding_claim_reply reply;
+        if (request.group == self->group && self->serving()) reply.seeds = self->claim.seeds;
+        co_return reply;
+      });
   endpoint.serve<rpc::catch_up_request>([catch_up_service](rpc::catch_up_request request) {
     return catch_up_service->serve(std::move(request));
   });
@@ -76,6 +85,13 @@
       [installer, owner](rpc::install_view_request request) { return installer->serve(std::move(request)); });
 }
 
+// Stores the claim of a voter that has an identity already: an earlier version began it without one.
+static task<> store_claim(std::shared_ptr<replica> self, founding_claim claim) {
+  bool durable =
+      co_await self->records.put_in_all_buckets(replica_storage::founding_claim_record, to_text(claim));
+  if (durable) self->claim = std::move(claim);
+}
+
 // Buckets with different identities, or one without an identity, mean that some buckets were lost while
 // others were kept; that counts as a corrupt disk. The exception is a first start that was interrupted before
 // a view could have named this voter.
@@ -97,12 +113,17 @@
     shared->endpoint.logger().error("disk is corrupt; beginning empty under a new identity",
                                     {{"group", shared->group}});
   if (corrupt || first_start) {
-    bool begun = co_await reset(shared);
+    // Acknowledged records were on a corrupt disk, so that the system has been started before.
+    if (corrupt) self->offered_claim.seeds.clear();
+    bool begun = co_await reset(shared, self->offered_claim);
     if (!begun) co_return open_error::failed;
   } else {
     shared->identity = *found.identities.begin();
+    shared->claim = founding_claim_from_text(found.founding_claim);
   }
   shared->records.start();
+  bool unclaimed = shared->claim.seeds.empty() && shared->current_view.number == 0;
+  if (unclaimed && !self->offered_claim.seeds.empty()) co_await store_claim(shared, self->offered_claim);
   shared->opened = true;
   serve_requests(shared, &self->installer, self->catch_up_service, self);
   if (corrupt) co_return open_error::corrupt;
--- a/src/replication/voter.h
+++ b/src/replication/voter.h
@@ -7,6 +7,7 @@
 #pragma once
 #include "consensus/view.h"
 #include "replica_storage/record_store.h"
+#include "replication/founding_claim.h"
 #include "rpc/endpoint.h"
 
 namespace herontally::replication {
@@ -24,11 +25,16 @@
 class voter {
  public:
   voter(rpc::endpoint endpoint, voter_options options);
+  // Sets the claim that the settings give this voter. Called before `open`, which stores it if the voter has
+  // no view and no claim yet.
+  void offer_claim(founding_claim claim);
   // Reads the disk, creates an identity if it is empty, and starts to serve requests. Nullopt on success. After
   // `failed` or `in_use` it may be called again.
   runtime::task<std::optional<open_error>> open();
   // Opens the voter, and retries while the disk can't be read or written or another process uses it.
   runtime::task<> open_when_possible();
+  // The stored right to create the group's first view.
+  const founding_claim& claim() const;
   // The identity by which views name this voter.
   const std::string& id() const;
   // The installed view; number 0 if there is none.
--- a/src/rpc/consensus_messages.h
+++ b/src/rpc/consensus_messages.h
@@ -211,6 +211,20 @@
   HERONTALLY_JSON_FIELDS(identify_request, group)
 };
 
+// A voter's right to create the group's first view; see replication/founding_claim.h.
+struct founding_claim_reply {
+  static constexpr const char* kind = "founding_claim_reply";
+  std::vector<std::string> seeds;  // empty: the voter has no claim
+  HERONTALLY_JSON_FIELDS(founding_claim_reply, seeds)
+};
+// Asks a voter for its founding claim.
+struct founding_claim_request {
+  static constexpr const char* kind = "founding_claim_request";
+  using reply = founding_claim_reply;
+  std::string group;
+  HERONTALLY_JSON_FIELDS(founding_claim_request, group)
+};
+
 // Installs a chosen view, given as JSON.
 struct install_view_request {
   static constexpr const char* kind = "install_view";
--- a/tests/input_fuzz/targets.cc
+++ b/tests/input_fuzz/targets.cc
@@ -249,10 +249,10 @@
     message_readers result;
     add_readers<rpc::vote_request, rpc::put_content_request, rpc::read_chain_request,
                 rpc::list_records_request, rpc::read_records_request, rpc::catch_up_request,
-                rpc::checksums_request, rpc::identify_request, rpc::install_view_request,
-                rpc::repair_record_request, rpc::config_update_request, rpc::config_applied_request,
-                rpc::config_committed_request, rpc::probe_request, rpc::engine_list_request,
-                rpc::trace_request, rpc::quota_request>(result);
+                rpc::checksums_request, rpc::identify_request, rpc::founding_claim_request,
+                rpc::install_view_request, rpc::repair_record_request, rpc::config_update_request,
+                rpc::config_applied_request, rpc::config_committed_request, rpc::probe_request,
+                rpc::engine_list_request, rpc::trace_request, rpc::quota_request>(result);
     result["ballot"] = reader_of<rpc::ballot>("ballot");
     result["member"] = reader_of<rpc::member>("member");
     result["trace_event"] = reader_of<rpc::trace_event>("trace_event");
--- a/tests/wire_bytes_test.cc
+++ b/tests/wire_bytes_test.cc
@@ -107,6 +107,8 @@
   add(out, rpc::checksums_reply{rpc::reply_status::ok, {1, -2, 1ll << 60}});
   add(out, rpc::identify_request{"store"});
   add(out, rpc::identify_reply{"voter-1", "{\"view\":1}", false});
+  add(out, rpc::founding_claim_request{"core"});
+  add(out, rpc::founding_claim_reply{{"10.0.0.1:7000", "10.0.0.2:7000"}});
   add(out, rpc::install_view_request{"voter-1", "{\"view\":1}"});
   add(out, rpc::install_view_reply{rpc::reply_status::unknown_voter});
   add(out, rpc::repair_record_request{"voter-1", 4, "key", low, bytes_of_all_values});
