--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -7,6 +7,7 @@
 
 #include "logging/logging.h"
 #include "runtime/event_loop.h"
+#include "runtime/process_setup.h"
 #include "runtime/resource_report.h"
 #include "settings/settings.h"
 
@@ -70,6 +71,7 @@
 // Reads the settings from the command line, runs a node and ends the process.
 template <class Node>
 int run_program(int count, char** arguments, const std::string& role, const std::string& purpose) {
+  set_up_process();
   return run_node<Node>(settings::from_command_line(count, arguments, role, purpose), role);
 }
 
