--- /dev/null
+++ b/tests/real_starts/main.py
@@ -0,0 +1,231 @@
+"""Starts fleets of real processes under what a real machine does at a start: ports that are held, data folders that don't exist, processes
+that start in any order, are killed before the first configuration, get signals, or start while their predecessors still run.
+
+Usage: main.py ROOT BUILD --seeds A..B [--cases CASE,...] [--cores N] [--stores N] [--edges N]
+
+The settings say `genesis = true` at the first start of each process alone. Each seed plays every case. Exit code 1: a process
+ended by itself, or a fleet didn't begin, wasn't ready or lost its configuration. It guards against the ends and the fleets that
+never begin of issue 52 (rule FAULT)."""
+import argparse
+import asyncio
+import os
+import random
+import resource
+import signal
+import socket
+import sys
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "platform_soak"))
+
+import fleet as fleet_module  # noqa: E402
+from faults import Operator  # noqa: E402
+from fleet import CONTROL, FIRST_PORT, INGRESS, READINESS, ZONES, Engine, Fleet, Process  # noqa: E402
+from history import History  # noqa: E402
+
+READY_SECONDS = 30
+# Of what the inner and http addresses of both roles on a machine use.
+RANGE_PORTS = range(FIRST_PORT, FIRST_PORT + 4)
+MAX_LOG_BYTES = 4096
+
+
+class StartingFleet(Fleet):
+    """A fleet whose processes may start only later, and whose settings name folders that don't exist yet."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.started = set()
+        self.folder_depth = 0
+
+    def write_settings(self, process):
+        self.genesis = process.name not in self.started
+        self.started.add(process.name)
+        path = super().write_settings(process)
+        if self.folder_depth and process.machine.kind != "edge":
+            with open(path) as file:
+                text = file.read()
+            deeper = os.path.join(process.machine.disk, *["level"] * self.folder_depth)
+            with open(path, "w") as file:
+                file.write(text.replace('state_dir = "%s"' % process.machine.disk, 'state_dir = "%s"' % deeper))
+        return path
+
+    @property
+    def processes(self):
+        return [process for machine in self.machines for process in machine.processes]
+
+    async def start_in_order(self, processes, pause):
+        """Starts the platform's list and the engines, then the processes, `pause()` seconds apart."""
+        host, port = self.platform.split(":")
+        await asyncio.start_server(self._serve_engine_list, host, int(port))
+        for engine in self.engines:
+            await engine.start()
+        for process in processes:
+            await process.start()
+            await asyncio.sleep(pause())
+
+
+async def start_successor(fleet, process):
+    """Starts another process of the same role on the same machine."""
+    successor = Process(fleet, process.machine, process.role)
+    process.machine.processes.append(successor)
+    await successor.start()
+
+
+def hold(address, seconds):
+    """Another program listens at the address for this long."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(address)
+    holder.listen()
+    asyncio.get_running_loop().call_later(seconds, holder.close)
+
+
+async def no_trouble(fleet, draw):
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+
+
+async def held_ports(fleet, draw):
+    for machine in fleet.machines:
+        ports = {*RANGE_PORTS, CONTROL, INGRESS, READINESS}
+        for port in draw.sample(sorted(ports), draw.randrange(0, 4)):
+            hold((machine.ip, port), draw.uniform(0.1, 3))
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+
+
+async def missing_folders(fleet, draw):
+    fleet.folder_depth = draw.randrange(1, 5)
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+
+
+async def any_order(fleet, draw):
+    processes = fleet.processes
+    draw.shuffle(processes)
+    await fleet.start_in_order(processes, lambda: draw.choice((0, 0, 0.2, 1)))
+
+
+def has_identity(core):
+    """Whether the core has stored its identity: a seed that is killed before can't be told from one that lost its disk."""
+    for name in os.listdir(core.disk):
+        with open(os.path.join(core.disk, name), "rb") as file:
+            if b"@voter" in file.read():
+                return True
+    return False
+
+
+async def killed_seeds(fleet, draw):
+    """Seeds, or all cores, are killed around the founding, some of them again."""
+    cores = fleet.of_kind("core")
+    seeds = cores[:3]
+    await fleet.start_in_order([process for core in cores for process in core.processes], lambda: 0)
+
+    while not all(has_identity(seed) for seed in seeds):
+        await asyncio.sleep(0.002)
+    for latest in draw.sample((0.04, 0.1, 0.2), draw.randrange(1, 4)):
+        await asyncio.sleep(draw.uniform(0, latest))
+        processes = [process for core in draw.choice((seeds, cores)) for process in core.processes if process.running]
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            await process.child.wait()
+            await start_successor(fleet, process)
+    for process in fleet.processes:
+        if process.machine.kind != "core":
+            await process.start()
+
+
+async def signals(fleet, draw):
+    """Signals that don't tell a daemon to end, from the start on."""
+    numbers = (signal.SIGHUP, signal.SIGPIPE, signal.SIGUSR1, signal.SIGUSR2, signal.SIGXFSZ, signal.SIGCONT, signal.SIGWINCH)
+    await fleet.start_in_order(fleet.processes, lambda: 0.03)
+    for _ in range(300):
+        draw.choice(fleet.processes).signal(draw.choice(numbers))
+        await asyncio.sleep(0.01)
+
+
+async def overlapping_processes(fleet, draw):
+    """A process is told to end, and its successor starts while it still runs, with its ports and its data folder."""
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+    await asyncio.sleep(draw.uniform(0, 3))
+    for process in draw.sample(fleet.processes, 8):
+        process.signal(signal.SIGTERM)
+        await start_successor(fleet, process)
+        await asyncio.sleep(draw.uniform(0, 0.5))
+
+
+async def file_size_limit(fleet, draw):
+    """No file may grow beyond some kilobytes. Edges have no data; their logs are the files."""
+    inherited = fleet_module.die_with_parent
+
+    def limited():
+        inherited()
+        resource.setrlimit(resource.RLIMIT_FSIZE, (MAX_LOG_BYTES, MAX_LOG_BYTES))
+
+    others = [process for process in fleet.processes if process.machine.kind != "edge"]
+    edges = [process for process in fleet.processes if process.machine.kind == "edge"]
+    await fleet.start_in_order(others, lambda: 0)
+    fleet_module.die_with_parent = limited
+    try:
+        for process in edges:
+            await process.start()
+    finally:
+        fleet_module.die_with_parent = inherited
+
+
+CASES = {case.__name__: case for case in (no_trouble, held_ports, missing_folders, any_order, killed_seeds, signals,
+                                          overlapping_processes, file_size_limit)}
+
+
+async def play(arguments, case, seed):
+    draw, history = random.Random("%s %d" % (case, seed)), History()
+    fleet = StartingFleet(arguments.root, os.path.join(arguments.build, "herontally"), history, arguments.edges,
+                          arguments.cores, arguments.stores)
+    for zone in ZONES:
+        fleet.engines += [Engine(fleet, service, zone, 64) for service in ("labels", "turns")]
+    operator = Operator(fleet, history, draw)
+    kept = None
+    try:
+        await CASES[case](fleet, draw)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + READY_SECONDS
+        while not operator.acknowledged and loop.time() < until:
+            await operator.change()
+        if not operator.acknowledged:
+            history.violate("BEGIN", "no configuration was acknowledged")
+        if not await fleet.wait_until(fleet.is_ready, READY_SECONDS):
+            history.violate("BEGIN", "not every edge is ready")
+        if await operator.read() != operator.acknowledged:
+            history.violate("CONFIG", "another configuration than the acknowledged one is read")
+    finally:
+        if arguments.keep and history.violations:
+            kept = os.path.join(arguments.keep, "%s-%d" % (case, seed))
+        await fleet.stop(kept)
+    return history.violations
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("root")
+    parser.add_argument("build")
+    parser.add_argument("--seeds", default="1..1", help="as A..B")
+    parser.add_argument("--cases", type=lambda text: text.split(","), default=list(CASES), help="of " + ", ".join(CASES))
+    parser.add_argument("--cores", type=int, default=5)
+    parser.add_argument("--stores", type=int, default=3)
+    parser.add_argument("--edges", type=int, default=3)
+    parser.add_argument("--keep", help="a folder for the logs of failed runs")
+    arguments = parser.parse_args()
+    arguments.build = os.path.abspath(arguments.build)
+    first, last = (int(part) for part in arguments.seeds.split(".."))
+    failed = 0
+    for seed in range(first, last + 1):
+        for case in arguments.cases:
+            violations = asyncio.run(play(arguments, case, seed))
+            failed += bool(violations)
+            print("seed %d, %s: %s" % (seed, case, "failed" if violations else "passed"), flush=True)
+            for violation in violations[:8]:
+                print("  " + violation, flush=True)
+    print("%d runs, %d failed" % ((last - first + 1) * len(arguments.cases), failed))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
