--- a/src/replication/voter.h
+++ b/src/replication/voter.h
@@ -28,8 +28,8 @@
   // Sets the claim that the settings give this voter. Called before `open`, which stores it if the voter has
   // no view and no claim yet.
   void offer_claim(founding_claim claim);
-  // Reads the disk, creates an identity if it is empty, and starts to serve requests. Nullopt on success. After
-  // `failed` or `in_use` it may be called again.
+  // Reads the disk, creates an identity if it is empty, and starts to serve requests. Nullopt on success.
+  // After `failed` or `in_use` it may be called again.
   runtime::task<std::optional<open_error>> open();
   // Opens the voter, and retries while the disk can't be read or written or another process uses it.
   runtime::task<> open_when_possible();
--- a/src/runtime/event_loop_parts.h
+++ b/src/runtime/event_loop_parts.h
@@ -27,7 +27,8 @@
 
 // Parses or looks up an address of the form host:port; false when it has another form or the name is unknown.
 bool resolve_address(const std::string& text, sockaddr_storage& out, int& length);
-// Sets TCP_NODELAY, TCP_USER_TIMEOUT and SO_REUSEADDR; accepted connections inherit the options of their listener.
+// Sets TCP_NODELAY, TCP_USER_TIMEOUT and SO_REUSEADDR; accepted connections inherit the options of their
+// listener.
 void set_connection_options(int descriptor);
 
 // Sets TCP_NODELAY alone, for HTTP listeners: a client may read as slowly as it likes.
--- a/src/runtime/process_setup.cc
+++ b/src/runtime/process_setup.cc
@@ -3,6 +3,8 @@
 #include <signal.h>
 #include <sys/resource.h>
 
+#include <initializer_list>
+
 namespace herontally::runtime {
 
 namespace {
