--- a/src/control_node/group_founder.cc
+++ b/src/control_node/group_founder.cc
@@ -106,6 +106,8 @@
   microseconds all_known_since = -1;
   while (self->voter_.current_view().number == 0) {
     co_await shared->runtime.sleep(check_period);
+    // A voter that a view has left out has no claim any more.
+    if (self->voter_.claim().seeds.empty()) co_return;
     auto founders = self->initial_core_voters();
     if (!founders) continue;
     auto now = shared->runtime.now();
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -1,5 +1,7 @@
 #include "control_node/node.h"
 
+#include <algorithm>
+
 #include "control_node/calendar_scheduler.h"
 #include "control_node/edge_set_manager.h"
 #include "control_node/engine_list_poller.h"
@@ -160,9 +162,11 @@
   return shared->runtime.http_serve(shared->node_settings.control, serve);
 }
 
-// The settings give a claim to the seeds, at the first start of the whole system.
+// The settings give a claim to the seeds, at the first start of the whole system. Sorted, since all seeds
+// must have the same claim whatever the order in their settings.
 static replication::founding_claim claim_of(const settings::settings& node_settings) {
-  auto& seeds = node_settings.seeds;
+  auto seeds = node_settings.seeds;
+  std::sort(seeds.begin(), seeds.end());
   bool is_seed = std::find(seeds.begin(), seeds.end(), node_settings.inner) != seeds.end();
   if (!node_settings.may_found_groups || !is_seed) return {};
   return {seeds};
--- a/tests/control_site_fixture.h
+++ b/tests/control_site_fixture.h
@@ -1,6 +1,7 @@
 // Test fixture: control nodes and storage nodes in the simulator, with the platform's adapter, a server for
 // the platform's engine list, and an operator that calls the control nodes.
 #pragma once
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "control_node/node.h"
@@ -26,6 +27,7 @@
   std::int64_t machine_losses = 1;
   json page_two = json::array();  // the engines on the second page of the platform's list; the first is empty
   int list_status = 200;          // of the platform's answers
+  bool seeds_in_own_order = false;  // each node's settings list the seeds in another order
 
   explicit control_site(std::uint64_t seed) : world(seed) {
     platform::fill_operators(*adapter);
@@ -56,6 +58,8 @@
     node_settings.http = node_settings.inner.substr(0, node_settings.inner.size() - 4) + "8000";
     node_settings.control = role == "control_node" ? control(name) : "";
     node_settings.seeds = {inner("c1"), inner("c2"), inner("c3")};
+    auto& seeds = node_settings.seeds;
+    if (seeds_in_own_order) std::rotate(seeds.begin(), seeds.begin() + (name[1] - '0') % 3, seeds.end());
     node_settings.data = "data";
     node_settings.platform = "10.0.2.1:80";
     node_settings.may_found_groups = founding;
--- a/tests/founding_restart_test.cc
+++ b/tests/founding_restart_test.cc
@@ -63,6 +63,21 @@
   }
 }
 
+TEST_CASE("seeds whose settings list them in different orders found one group, also after a restart") {
+  for (int step = 0; step < 6; ++step) {
+    control_site site(440 + static_cast<std::uint64_t>(step));
+    site.seeds_in_own_order = true;
+    site.boot_all();
+    site.world.run_for(10 * millisecond + step * 30 * millisecond);
+    kill_seeds(site, simulator::disk_loss::none);
+    restart_seeds_without_genesis(site);
+    INFO("step " << step);
+    REQUIRE(site.status("c3", "POST", "/-/config/replace", site.table(5), "0") == 200);
+    site.world.run_for(6 * second);
+    for (auto& name : seeds) REQUIRE(site.ask(name, "GET", "/-/config/read").body == site.table(5));
+  }
+}
+
 TEST_CASE("seeds that lost their disks since the first start don't found a group, and the log says why") {
   control_site site(450);
   site.boot_all();
