--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "runtime/event_loop_parts.h"
+#include "runtime/overload_manager.h"
 
 namespace herontally::runtime {
 
@@ -104,6 +105,7 @@
   event_base* base = nullptr;
   timer_table timers;
   std::unique_ptr<ready_queue> ready;
+  std::shared_ptr<overload_manager> overload;
   std::shared_ptr<rpc_transport> channels;
   std::shared_ptr<http_server> server;
   std::shared_ptr<http_client> client;
@@ -180,7 +182,8 @@
   event_add(sigint_event, nullptr);
 }
 
-event_loop::event_loop(std::string data_directory) : state_(std::make_unique<state>()) {
+event_loop::event_loop(std::string data_directory, const resource_limits& limits)
+    : state_(std::make_unique<state>()) {
   // Writing to a connection that the peer has closed must not end the process.
   signal(SIGPIPE, SIG_IGN);
   state_->base = make_event_base();
@@ -189,7 +192,8 @@
   bind_clocks(table);
   state_->ready = std::make_unique<ready_queue>(state_->base);
   bind_timers(&state_->timers, state_->ready.get(), table);
-  state_->channels = make_channels(state_->base, table.after, table.cancel);
+  state_->overload = std::make_shared<overload_manager>(state_->base, limits);
+  state_->channels = make_channels(state_->base, table.after, table.cancel, state_->overload);
   state_->server = make_http_server(state_->base);
   state_->client = make_http_client(state_->base, table);
   bind_channels(state_->channels, table);
@@ -219,6 +223,7 @@
   event_free(state_->sighup_event);
   event_free(state_->sigterm_event);
   event_free(state_->sigint_event);
+  state_->overload->stop();
   event_base_free(state_->base);
 }
 
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -1,5 +1,6 @@
 // Implements the runtime over libevent: TCP, HTTP, signals and files of one data directory.
 #pragma once
+#include "runtime/resource_limits.h"
 #include "runtime/runtime.h"
 
 struct event_base;
@@ -10,7 +11,8 @@
 class event_loop {
  public:
   // Creates the data directory if needed; an empty path means that this process stores nothing on disk.
-  explicit event_loop(std::string data_directory);
+  // The limits bound what peers can make the process keep.
+  explicit event_loop(std::string data_directory, const resource_limits& limits = {});
   ~event_loop();
   event_loop(const event_loop&) = delete;
   handle runtime() const;
--- a/src/runtime/event_loop_parts.h
+++ b/src/runtime/event_loop_parts.h
@@ -11,8 +11,12 @@
 using after_function = std::function<std::uint64_t(microseconds, std::function<void()>)>;
 using cancel_function = std::function<void(std::uint64_t)>;
 
+class overload_manager;
+
+// Without an overload manager these two use one of their own, with the default limits.
 struct rpc_transport;
-std::shared_ptr<rpc_transport> make_channels(event_base* base, after_function after, cancel_function cancel);
+std::shared_ptr<rpc_transport> make_channels(event_base* base, after_function after, cancel_function cancel,
+                                             std::shared_ptr<overload_manager> overload = nullptr);
 void bind_channels(const std::shared_ptr<rpc_transport>& transport, backend& table);
 
 struct http_server;
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -30,7 +30,7 @@
 template <class Node, class... Extra>
 int serve_until_terminated(settings::settings config, const std::string& role, Extra... extra) {
   logging::start(role, config.log_level);
-  event_loop loop(config.data);
+  event_loop loop(config.data, make_resource_limits(config.memory_megabytes, config.max_descriptors));
   logging::logger logger(config.name);
   std::optional<Node> node;
   node.emplace(loop.runtime(), config, logger, extra...);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,7 +40,8 @@
   // Calls per second, of all nodes together, that the platform accepts for its engine list.
   double list_rate = 4;
   std::int64_t drain_milliseconds = 3000;  // time by which requests to a draining engine must have stopped
-  std::int64_t memory_megabytes = 0;       // 0: the system sets no limit of its own
+  std::int64_t memory_megabytes = 0;       // what the process may use; 0: not limited
+  std::int64_t max_descriptors = 0;        // open descriptors; 0: as many as the kernel allows
   // How many machines and how many zones may fail at once without breaking a guarantee. Groups of voters are
   // sized and spread over zones for this.
   std::int64_t machine_losses = 1, zone_losses = 1;
