--- a/src/runtime/backend.h
+++ b/src/runtime/backend.h
@@ -58,6 +58,9 @@
   std::function<bool()> closed;
   // Bytes written but not yet accepted by the kernel.
   std::function<std::size_t()> backlog;
+  // Accounts for further memory that the handler keeps until it drops the writer; false: there is none left.
+  // Empty in the simulator.
+  std::function<bool(std::size_t)> reserve;
   // Closes the connection without completing the response.
   std::function<void()> cut;
   // Adds "Connection: close", so that the client opens a new connection for its next request. Must be called
@@ -152,6 +155,9 @@
   // Abandons an exchange and closes its connection; no further event is delivered.
   std::function<void(std::uint64_t)> http_cancel;
   disk_table disk;
+  // Connections of peers that were closed because together they made the process keep too much. Empty in the
+  // simulator.
+  std::function<std::uint64_t()> connections_shed;
 };
 
 }  // namespace herontally::runtime
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -194,12 +194,13 @@
   bind_timers(&state_->timers, state_->ready.get(), table);
   state_->overload = std::make_shared<overload_manager>(state_->base, limits);
   state_->channels = make_channels(state_->base, table.after, table.cancel, state_->overload);
-  state_->server = make_http_server(state_->base);
+  state_->server = make_http_server(state_->base, state_->overload);
   state_->client = make_http_client(state_->base, table);
   bind_channels(state_->channels, table);
   bind_http_server(state_->server, table);
   bind_http_client(state_->client, table);
   bind_files(std::move(data_directory), table);
+  table.connections_shed = [overload = state_->overload] { return overload->closed_connections(); };
   std::uint64_t seed = random_seed(table);
   state_->runtime.emplace(std::move(table), seed);
   state_->on_termination = [this] { stop(); };
--- a/src/runtime/event_loop_parts.h
+++ b/src/runtime/event_loop_parts.h
@@ -20,7 +20,8 @@
 void bind_channels(const std::shared_ptr<rpc_transport>& transport, backend& table);
 
 struct http_server;
-std::shared_ptr<http_server> make_http_server(event_base* base);
+std::shared_ptr<http_server> make_http_server(event_base* base,
+                                              std::shared_ptr<overload_manager> overload = nullptr);
 void bind_http_server(const std::shared_ptr<http_server>& owner, backend& table);
 
 struct http_client;
--- a/src/runtime/http_connection_pool.cc
+++ b/src/runtime/http_connection_pool.cc
@@ -139,7 +139,7 @@
     entry->notify = std::make_shared<std::function<void(http_event)>>(std::move(notify));
     entry->bytes = serialize_request(address, request);
     // The body is serialized already; only the fields needed to handle the response are kept.
-    request.body.clear();
+    request.body = std::string();
     request.headers.clear();
     std::transform(request.echo_name.begin(), request.echo_name.end(), request.echo_name.begin(),
                    [](unsigned char letter) { return std::tolower(letter); });
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,11 +14,16 @@
 namespace herontally::runtime {
 
 http_server::~http_server() {
+  adopt_connections(this);
   // Disables close callbacks, so that no on_gone handler is called during destruction.
   for (auto& [connection, entry] : connections) evhttp_connection_set_closecb(connection, nullptr, nullptr);
   connections.clear();
+  event_free(adopt_event);
   for (auto& entry : stopped_servers) evhttp_free(entry->server);
-  for (auto& [address, entry] : servers) evhttp_free(entry->server);
+  for (auto& [address, entry] : servers) {
+    overload->remove_listener(evhttp_bound_socket_get_listener(entry->listener));
+    evhttp_free(entry->server);
+  }
 }
 
 namespace {
@@ -45,6 +51,28 @@
   }
 }
 
+// What a request in progress occupies: its head, here and as evhttp keeps it, and copies of its body, one of
+// them on its way to an engine.
+std::size_t cost_of(evhttp_request* request) {
+  // Its tasks, and a short answer.
+  constexpr std::size_t base_cost = 20u << 10, header_overhead = 256;
+  constexpr std::size_t head_copies = 3, body_copies = 2;
+  std::size_t cost = base_cost + body_copies * evbuffer_get_length(evhttp_request_get_input_buffer(request)) +
+                     head_copies * strlen(evhttp_request_get_uri(request));
+  auto* headers = evhttp_request_get_input_headers(request);
+  for (auto* entry = headers->tqh_first; entry; entry = entry->next.tqe_next)
+    cost += head_copies * (strlen(entry->key) + strlen(entry->value)) + header_overhead;
+  return cost;
+}
+
+// Nothing of the request has run, and another node may have memory for it.
+http_response memory_refusal() {
+  constexpr int unavailable = 503;
+  return {unavailable,
+          {{"Content-Type", "application/json"}, {"Retry-After", "1"}},
+          "{\"error\":\"too many requests are in progress\"}\n"};
+}
+
 void copy_headers(evhttp_request* request, std::map<std::string, std::string>& out) {
   auto* headers = evhttp_request_get_input_headers(request);
   for (auto* entry = headers->tqh_first; entry; entry = entry->next.tqe_next) {
@@ -56,6 +84,13 @@
 
 void on_request(evhttp_request* request, void* raw) {
   auto* server = static_cast<bound_server*>(raw);
+  auto* connection = connection_of(server->owner, evhttp_request_get_connection(request));
+  connection->server = server;
+  begin_exchange(connection, request);
+  auto reservation = std::make_unique<memory_reservation>(server->owner->overload);
+  bool fits = reservation->admit_client_request(cost_of(request));
+  auto writer = make_http_writer(*server, request, std::move(reservation));
+  if (!fits) return writer->reply(memory_refusal());
   inbound_request incoming;
   incoming.method = method_of(request);
   incoming.target = evhttp_request_get_uri(request);
@@ -72,10 +107,9 @@
   ev_uint16_t port = 0;
   evhttp_connection_get_peer(evhttp_request_get_connection(request), &peer, &port);
   if (peer) incoming.peer = std::string(peer) + ":" + std::to_string(port);
-  connection_of(server->owner, evhttp_request_get_connection(request))->server = server;
   // Copied, since the handler may stop this server.
   auto handler = server->handler;
-  handler(std::move(incoming), make_http_writer(*server, request));
+  handler(std::move(incoming), std::move(writer));
 }
 
 std::unique_ptr<bound_server> bind_server(http_server* owner, const std::string& address,
@@ -96,16 +130,22 @@
   evhttp_set_max_headers_size(bound->server, 32768);
   evhttp_set_allowed_methods(bound->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                                 EVHTTP_REQ_PATCH | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+  evhttp_set_bevcb(bound->server, make_server_stream, owner);
   evhttp_set_gencb(bound->server, on_request, bound.get());
   bound->listener = evhttp_bind_listener(bound->server, listener);
+  owner->overload->add_listener(listener);
   return bound;
 }
 
 }  // namespace
 
-std::shared_ptr<http_server> make_http_server(event_base* base) {
+std::shared_ptr<http_server> make_http_server(event_base* base, std::shared_ptr<overload_manager> overload) {
   auto owner = std::make_shared<http_server>();
   owner->base = base;
+  owner->overload =
+      overload ? std::move(overload) : std::make_shared<overload_manager>(base, resource_limits{});
+  auto adopt = [](evutil_socket_t, short, void* raw) { adopt_connections(static_cast<http_server*>(raw)); };
+  owner->adopt_event = event_new(base, -1, 0, adopt, owner.get());
   return owner;
 }
 
@@ -124,6 +164,7 @@
     if (!owner || !owner->servers.contains(address)) return;
     auto bound = std::move(owner->servers[address]);
     owner->servers.erase(address);
+    owner->overload->remove_listener(evhttp_bound_socket_get_listener(bound->listener));
     evhttp_del_accept_socket(bound->server, bound->listener);
     owner->stopped_servers.push_back(std::move(bound));
   };
--- a/src/runtime/http_server_connection.cc
+++ b/src/runtime/http_server_connection.cc
@@ -1,5 +1,6 @@
 // Detects clients that disconnect while their request is processed, and closes connections without losing the
 // response.
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -13,6 +14,8 @@
 namespace herontally::runtime {
 
 server_connection::~server_connection() {
+  if (input_callback) evbuffer_remove_cb_entry(bufferevent_get_input(stream), input_callback);
+  if (output_callback) evbuffer_remove_cb_entry(bufferevent_get_output(stream), output_callback);
   if (watch_event) event_free(watch_event);
   if (watched_descriptor >= 0) close(watched_descriptor);
 }
@@ -22,6 +25,11 @@
 struct lingering_close {
   int descriptor;
   struct event* read_event = nullptr;
+  std::unique_ptr<connection_usage> usage;
+  ~lingering_close() {
+    if (read_event) event_free(read_event);
+    close(descriptor);
+  }
 };
 
 // The longest wait for the client's next bytes or its close.
@@ -37,19 +45,19 @@
     event_add(owned->read_event, &linger_timeout);
     // The event's next callback owns it.
     static_cast<void>(owned.release());
-    return;
   }
-  event_free(owned->read_event);
-  close(descriptor);
 }
 
 // Closing a socket with unread bytes sends a reset, which may discard the response before the client has read
 // it. A duplicate descriptor reads those bytes until the client, which has received our FIN, closes as well.
-void start_lingering_close(event_base* base, int descriptor) {
+void start_lingering_close(http_server* owner, int descriptor) {
   int copy = fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
   if (copy < 0) return;
-  auto owned = std::make_unique<lingering_close>(lingering_close{copy});
-  owned->read_event = event_new(base, copy, EV_READ, discard_input, owned.get());
+  auto owned = std::make_unique<lingering_close>();
+  auto* entry = owned.get();
+  entry->descriptor = copy;
+  entry->usage = std::make_unique<connection_usage>(owner->overload, 1, [entry] { delete entry; });
+  owned->read_event = event_new(owner->base, copy, EV_READ, discard_input, entry);
   event_add(owned->read_event, &linger_timeout);
   // `discard_input` owns it from here on.
   static_cast<void>(owned.release());
@@ -93,7 +101,7 @@
   owner->connections.erase(found);
   if (owned->linger_on_close) {
     int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(closed));
-    if (descriptor >= 0) start_lingering_close(owner->base, descriptor);
+    if (descriptor >= 0) start_lingering_close(owner, descriptor);
   }
   if (auto exchange = owned->exchange.lock()) schedule_disconnect_callback(owner->base, exchange);
 }
@@ -101,14 +109,31 @@
 }  // namespace
 
 server_connection* connection_of(http_server* owner, evhttp_connection* connection) {
-  auto& entry = owner->connections[connection];
-  if (!entry) {
-    entry = std::make_unique<server_connection>();
-    entry->owner = owner;
-    entry->connection = connection;
-    evhttp_connection_set_closecb(connection, on_close, owner);
+  auto found = owner->connections.find(connection);
+  return found == owner->connections.end() ? nullptr : found->second.get();
+}
+
+void adopt_connections(http_server* owner) {
+  for (auto& entry : std::exchange(owner->accepted, {})) {
+    void* connection = nullptr;
+    // evhttp's callbacks get its connection as their argument.
+    bufferevent_getcb(entry->stream, nullptr, nullptr, nullptr, &connection);
+    entry->connection = static_cast<evhttp_connection*>(connection);
+    evhttp_connection_set_closecb(entry->connection, on_close, owner);
+    owner->connections[entry->connection] = std::move(entry);
+  }
+}
+
+void close_server_connection(server_connection* connection) {
+  // One that was just accepted.
+  if (!connection->connection) adopt_connections(connection->owner);
+  auto exchange = connection->exchange.lock();
+  if (exchange && exchange->request) {
+    schedule_disconnect_callback(connection->owner->base, exchange);
+    // evhttp frees it with the connection.
+    exchange->request = nullptr;
   }
-  return entry.get();
+  evhttp_connection_free(connection->connection);
 }
 
 void watch_client(const std::shared_ptr<server_exchange>& exchange) {
@@ -117,6 +142,7 @@
   auto* channel = evhttp_request_get_connection(exchange->request);
   if (!channel) return;
   auto* connection = connection_of(owner.get(), channel);
+  if (!connection) return;
   connection->exchange = exchange;
   if (connection->watch_event) {
     // The edge-triggered event may have fired before this request arrived.
@@ -126,6 +152,7 @@
   int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(channel));
   connection->watched_descriptor = fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
   if (connection->watched_descriptor < 0) return;
+  connection->usage->add_descriptors(1);
   connection->watch_event = event_new(owner->base, connection->watched_descriptor,
                                       EV_READ | EV_CLOSED | EV_ET | EV_PERSIST, on_socket_event, connection);
   event_add(connection->watch_event, nullptr);
--- a/src/runtime/http_server_exchange.cc
+++ b/src/runtime/http_server_exchange.cc
@@ -46,6 +46,21 @@
   return "Answer";
 }
 
+// Adds a long text without copying it.
+void add_text(evbuffer* out, std::string text) {
+  constexpr std::size_t min_referenced_bytes = 64u << 10;
+  if (text.size() < min_referenced_bytes) {
+    evbuffer_add(out, text.data(), text.size());
+    return;
+  }
+  auto owned = std::make_unique<std::string>(std::move(text));
+  auto* kept = owned.get();
+  auto free_text = [](const void*, std::size_t, void* raw) { delete static_cast<std::string*>(raw); };
+  if (evbuffer_add_reference(out, kept->data(), kept->size(), free_text, kept) != 0) return;
+  // The buffer frees it.
+  static_cast<void>(owned.release());
+}
+
 void add_headers(evhttp_request* request, const std::map<std::string, std::string>& headers) {
   auto* out = evhttp_request_get_output_headers(request);
   for (auto& [name, value] : headers) evhttp_add_header(out, name.c_str(), value.c_str());
@@ -57,8 +72,9 @@
   evhttp_remove_header(headers, "Connection");
   evhttp_add_header(headers, "Connection", "close");
   auto owner = exchange.owner.lock();
-  if (auto* channel = evhttp_request_get_connection(exchange.request))
-    connection_of(owner.get(), channel)->linger_on_close = true;
+  auto* channel = evhttp_request_get_connection(exchange.request);
+  auto* connection = channel ? connection_of(owner.get(), channel) : nullptr;
+  if (connection) connection->linger_on_close = true;
 }
 
 void abort_connection(const std::shared_ptr<server_exchange>& exchange) {
@@ -83,7 +99,7 @@
     auto* request = std::exchange(exchange->request, nullptr);
     add_headers(request, response.headers);
     evbuffer* body = evbuffer_new();
-    evbuffer_add(body, response.body.data(), response.body.size());
+    add_text(body, std::move(response.body));
     evhttp_send_reply(request, response.status, reason_phrase(response.status), body);
     evbuffer_free(body);
   };
@@ -120,6 +136,7 @@
     if (!channel) return 0;
     return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(channel)));
   };
+  writer.reserve = [exchange](std::size_t bytes) { return exchange->reservation->grow(bytes); };
   writer.cut = [exchange] { abort_connection(exchange); };
   writer.last_on_connection = [exchange] {
     if (exchange->usable()) announce_close(*exchange);
@@ -136,11 +153,13 @@
   if (usable()) evhttp_send_error(request, 500, nullptr);
 }
 
-std::shared_ptr<http_writer> make_http_writer(const bound_server& server, evhttp_request* request) {
+std::shared_ptr<http_writer> make_http_writer(const bound_server& server, evhttp_request* request,
+                                              std::unique_ptr<memory_reservation> reservation) {
   auto exchange = std::make_shared<server_exchange>();
   exchange->request = request;
   exchange->owner = server.owner->weak_from_this();
   exchange->draining = server.draining;
+  exchange->reservation = std::move(reservation);
   connection_of(server.owner, evhttp_request_get_connection(request))->exchange = exchange;
   auto writer = std::make_shared<http_writer>();
   bind_response(*writer, exchange);
--- a/src/runtime/resource_report.cc
+++ b/src/runtime/resource_report.cc
@@ -50,6 +50,11 @@
     logger.gauge("herontally_peak_resident_kilobytes", static_cast<double>(current.peak_kilobytes));
     logger.gauge("herontally_processor_milliseconds",
                  static_cast<double>(current.processor_time) / static_cast<double>(millisecond));
+    if (runtime.table().connections_shed) {
+      auto shed = runtime.table().connections_shed();
+      fields["connections_shed"] = shed;
+      logger.gauge("herontally_connections_shed", static_cast<double>(shed));
+    }
     logger.info("resources", std::move(fields));
   }
 }
