--- a/src/router/attempt.cc
+++ b/src/router/attempt.cc
@@ -17,6 +17,14 @@
 // Added as well, so that the turns of a program that continues without a long pause need no copy of their
 // chain.
 constexpr microseconds chain_margin = 15 * second;
+// The part of an answer that the request's own reservation covers.
+constexpr std::size_t covered_answer_bytes = 16u << 10;
+// A growing string occupies up to twice its length.
+constexpr std::size_t answer_overhead = 2;
+// A client that is this far behind the events of its stream doesn't read them any more.
+constexpr std::size_t max_stream_backlog = 1u << 20;
+// The longest event that is scanned.
+constexpr std::size_t max_event_bytes = 1u << 20;
 // A chain is copied into its last turn only up to this size: a larger record wouldn't reach the stores.
 constexpr std::size_t max_copied_chain = 8u << 20;
 
@@ -33,6 +41,12 @@
   return names;
 }
 
+// Accounts for a further part of an answer of which `collected` bytes are kept already.
+bool reserve_answer(const client_exchange& exchange, std::size_t collected, std::size_t bytes) {
+  if (collected + bytes <= covered_answer_bytes) return true;
+  return exchange.reserve_memory(answer_overhead * bytes);
+}
+
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 // Whether a status tells the client that the request was not executed. Without the engine's explicit
@@ -209,7 +223,9 @@
     if (!next) co_return attempt_outcome::deadline_exceeded;
     if (std::holds_alternative<runtime::http_end>(*next)) break;
     if (std::holds_alternative<runtime::http_failure>(*next)) co_return attempt_outcome::unknown;
-    if (auto* piece = std::get_if<runtime::http_piece>(&*next)) response.body += piece->bytes;
+    auto& bytes = std::get<runtime::http_piece>(*next).bytes;
+    if (!reserve_answer(*exchange, response.body.size(), bytes.size())) co_return attempt_outcome::no_memory;
+    response.body += bytes;
   }
   auto metadata = self->adapter->read_response(status, response.headers);
   // A success counts only with the engine's seal.
@@ -265,9 +281,16 @@
       auto& bytes = std::get<runtime::http_piece>(*next).bytes;
       scanner.feed(bytes);
       exchange->events = scanner.events();
+      bool fits = scanner.unfinished_bytes() <= max_event_bytes;
+      if (fits && exchange->route.stores_turns)
+        fits = reserve_answer(*exchange, scanner.data().size(), bytes.size());
       send_head();
       exchange->out->piece(std::move(bytes));
-      continue;
+      bool unread = exchange->out->backlog() > max_stream_backlog;
+      if (fits && !unread) continue;
+      self->logger.count("herontally_streams_cut_total");
+      exchange->out->cut();
+      co_return fits ? attempt_outcome::client_disconnected : attempt_outcome::no_memory;
     }
     if (next && std::holds_alternative<runtime::http_end>(*next)) break;
     if (!exchange->head_sent) co_return next ? attempt_outcome::unknown : attempt_outcome::deadline_exceeded;
--- a/src/router/event_scanner.h
+++ b/src/router/event_scanner.h
@@ -17,6 +17,8 @@
   const std::string& data() const { return data_; }
   // The id of the last complete event that had one.
   const std::string& last_id() const { return last_id_; }
+  // Bytes kept of an event that is partially received.
+  std::size_t unfinished_bytes() const { return line_.size() + pending_.size(); }
   // Whether no event is partially received.
   bool between_events() const { return line_.empty() && !in_event_; }
 
--- a/src/router/request.cc
+++ b/src/router/request.cc
@@ -34,14 +34,28 @@
          exchange.route.kind == routing::category::streaming;
 }
 
+std::size_t chain_size(const ledger::chain_result& chain) {
+  std::size_t size = 0;
+  for (auto& turn : chain.turns) size += turn.input.size() + turn.output.size();
+  return size;
+}
+
 // Concatenates the earlier turns of the chain, unchanged, and the new request body.
 std::string body_with_chain(const ledger::chain_result& chain, const std::string& body) {
   std::string whole;
+  whole.reserve(chain_size(chain) + body.size());
   for (auto& turn : chain.turns) {
     whole += turn.input;
     whole += turn.output;
   }
-  return whole + body;
+  whole += body;
+  return whole;
+}
+
+// The body as sent to the engine. The request's own body is kept only where it is stored as a turn.
+std::string take_engine_body(client_exchange& exchange, const ledger::chain_result& chain) {
+  if (exchange.route.stores_turns) return body_with_chain(chain, exchange.request.body);
+  return std::move(exchange.request.body);
 }
 
 // Engines that share a table of operation keys run an operation once, no matter how often it is sent.
@@ -89,7 +103,12 @@
     self->reject(exchange, *refusal);
     co_return false;
   }
-  exchange->body = body_with_chain(chain, exchange->request.body);
+  // The chain, and a copy of it on its way to an engine.
+  if (!exchange->reserve_memory(2 * chain_size(chain))) {
+    self->reject(exchange, {503, "no memory for the kept turns", 300});
+    co_return false;
+  }
+  exchange->body = take_engine_body(*exchange, chain);
   exchange->chain_expires_at = ledger::earliest_retention_end(chain);
   co_return true;
 }
@@ -196,6 +215,7 @@
                                                 int tries) {
   if (outcome == attempt_outcome::deadline_exceeded)
     return rejection{504, "the engine did not answer in time"};
+  if (outcome == attempt_outcome::no_memory) return rejection{502, "no memory for the engine's answer"};
   if (outcome == attempt_outcome::in_progress) return rejection{409, "the operation is in progress", 100};
   bool not_run = outcome == attempt_outcome::not_run;
   bool retry = tries < exchange.route.max_attempts && (not_run || is_repeatable(exchange));
--- a/src/router/request_router_state.h
+++ b/src/router/request_router_state.h
@@ -51,6 +51,8 @@
 
   // The ledger's id of a program or turn, scoped by this request's tenant.
   std::string ledger_id(const std::string& id) const { return ledger::scoped_id(tenant, id); }
+  // Accounts for memory that is kept until the request is answered; false: there is none left.
+  bool reserve_memory(std::size_t bytes) const { return !out->reserve || out->reserve(bytes); }
   // The operation key, scoped by this request's tenant.
   std::string operation_id() const { return ledger_id(metadata.operation_key); }
 };
@@ -67,6 +69,7 @@
   stream_cut,           // aborted after the head of the stream was sent
   client_disconnected,  // the client closed its connection
   deadline_exceeded,    // the deadline passed while waiting for the engine
+  no_memory,            // the engine's answer is larger than the memory left for it
 };
 
 // Why planning an attempt produced no plan.
--- a/src/runtime/runtime.cc
+++ b/src/runtime/runtime.cc
@@ -158,6 +158,9 @@
   }
 }
 
+// More than any document that is fetched.
+constexpr std::size_t max_fetched_bytes = 8u << 20;
+
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
                               microseconds timeout) {
   microseconds deadline = runtime.now() + timeout;
@@ -172,6 +175,7 @@
       response.status = head->status;
       response.headers = head->headers;
     } else if (auto* piece = std::get_if<http_piece>(&*event)) {
+      if (response.body.size() + piece->bytes.size() > max_fetched_bytes) co_return http_failure{true};
       response.body += piece->bytes;
     } else if (auto* failure = std::get_if<http_failure>(&*event)) {
       co_return *failure;
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -164,7 +164,8 @@
                          microseconds latest);
 
 using http_outcome = std::variant<http_response, http_failure>;
-// Sends a request and collects the complete response; a failure after the timeout.
+// Sends a request and collects the complete response; a failure after the timeout, or if the response is
+// larger than any document that is fetched.
 task<http_outcome> http_fetch(handle runtime, std::string address, http_request request,
                               microseconds timeout);
 
