--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -8,6 +8,7 @@
 #include "control_node/group_founder.h"
 #include "control_node/operator_api.h"
 #include "control_node/platform_operator_api.h"
+#include "http_api/document_limit.h"
 #include "runtime/listening.h"
 
 namespace herontally::control_node {
@@ -146,7 +147,8 @@
                 weak = std::weak_ptr<operator_api>(operators)](runtime::inbound_request request,
                                                                http_api::writer out) {
     auto api = weak.lock();
-    if (api) runtime.spawn(http_api::serve_guarded(api->serve(std::move(request), out), out, logger));
+    if (!api || !http_api::admit_document(request, out)) return;
+    runtime.spawn(http_api::serve_guarded(api->serve(std::move(request), out), out, logger));
   };
   return shared->runtime.http_serve(shared->node_settings.http, serve);
 }
@@ -157,7 +159,8 @@
                 weak = std::weak_ptr<platform_operator_api>(platform_operators)](
                    runtime::inbound_request request, http_api::writer out) {
     auto api = weak.lock();
-    if (api) runtime.spawn(http_api::serve_guarded(api->serve(std::move(request), out), out, logger));
+    if (!api || !http_api::admit_document(request, out)) return;
+    runtime.spawn(http_api::serve_guarded(api->serve(std::move(request), out), out, logger));
   };
   return shared->runtime.http_serve(shared->node_settings.control, serve);
 }
--- a/src/proxy/node.cc
+++ b/src/proxy/node.cc
@@ -1,5 +1,6 @@
 #include "proxy/node.h"
 
+#include "http_api/document_limit.h"
 #include "proxy/call_handler.h"
 #include "proxy/config_follower.h"
 #include "proxy/platform_ingress.h"
@@ -109,7 +110,7 @@
   shared->runtime.spawn(listen_when_possible(shared->runtime, shared->logger, std::move(inner)));
   auto serve = [weak = std::weak_ptr<state>(self)](runtime::inbound_request request, http_api::writer out) {
     auto locked = weak.lock();
-    if (!locked) return;
+    if (!locked || !http_api::admit_document(request, out)) return;
     auto& shared = *locked->shared;
     shared.runtime.spawn(http_api::serve_guarded(locked->serve(std::move(request), out), out, shared.logger));
   };
