--- a/src/runtime/rpc_channels.cc
+++ b/src/runtime/rpc_channels.cc
@@ -198,6 +198,8 @@
 
 static void on_read(bufferevent* stream, void* raw) {
   auto* self = static_cast<channel*>(raw);
+  // A call that was deferred before the pause.
+  if (self->reading_paused) return;
   auto* transport = self->transport;
   std::uint64_t id = self->id;
   ++self->reads;
