--- a/src/runtime/http_server_parts.h
+++ b/src/runtime/http_server_parts.h
@@ -91,8 +91,9 @@
 // The state of a connection; nullptr once it is closed.
 server_connection* connection_of(http_server* owner, evhttp_connection* connection);
 
-// Makes the stream of a connection that was just accepted, and its state. For evhttp_set_bevcb.
-bufferevent* make_server_stream(event_base* base, void* owner);
+// Makes the stream of a connection that was just accepted, and its state. `raw`: the http_server. For
+// evhttp_set_bevcb.
+bufferevent* make_server_stream(event_base* base, void* raw);
 // Takes over the accepted connections once evhttp has set them up.
 void adopt_connections(http_server* owner);
 // Closes a connection, whatever it is doing. Not from within a callback of the connection.
--- a/src/runtime/resource_limits.cc
+++ b/src/runtime/resource_limits.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t bytes_per_megabyte = 1000 * 1000;
+constexpr std::size_t bytes_per_megabyte = 1000000;
 constexpr rlim_t max_counted_descriptors = 1u << 20;
 
 std::size_t allowed_descriptors(std::int64_t max_descriptors) {
