--- a/tests/platform_soak/fleet.py
+++ b/tests/platform_soak/fleet.py
@@ -1,6 +1,7 @@
 """A deployment on loopback addresses: the project's processes, started with the deploy file's commands, and stand-ins for
 the platform's engine list and for engines. It restarts processes that exit by themselves; faults come from faults.py."""
 import asyncio
+import contextlib
 import ctypes
 import json
 import os
@@ -31,13 +32,31 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 
+class Orders:
+    """What one process was told: when it got its first SIGTERM (None: it didn't), and whether it was killed."""
+
+    def __init__(self):
+        self.terminated_at, self.killed = None, False
+
+    @property
+    def to_end(self):
+        return self.killed or self.terminated_at is not None
+
+    def record(self, number):
+        if number == signal.SIGKILL:
+            self.killed = True
+        if number == signal.SIGTERM and self.terminated_at is None:
+            self.terminated_at = time.monotonic()
+
+
 class Process:
-    """One role on one machine. As on the platform it is restarted when it exits by itself, which is also a violation."""
+    """One role on one machine. As on the platform it is restarted when it exits by itself, which is also a violation; so is another
+    exit code than 0, or an end after the notice, of a process that was told to end."""
 
     def __init__(self, fleet, machine, role):
         self.fleet, self.machine, self.role = fleet, machine, role
         self.name = "%s/%s" % (machine.name, role)
-        self.child, self.stop_requested = None, False
+        self.child, self.orders = None, Orders()
 
     @property
     def running(self):
@@ -46,7 +65,7 @@
     async def start(self):
         if self.fleet.stopping or self.running:
             return
-        self.stop_requested = False
+        self.orders = Orders()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG", "LSAN_OPTIONS") if name in os.environ}
         environment["HERONTALLY_SETTINGS"] = self.fleet.write_settings(self)
         with open(os.path.join(self.fleet.folder, "%s-%s.log" % (self.machine.name, self.role)), "ab") as log:
@@ -54,22 +73,31 @@
                 self.fleet.program, *self.fleet.arguments[self.role], cwd=self.fleet.folder, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=asyncio.subprocess.STDOUT,
                 preexec_fn=die_with_parent)
-        self.fleet.spawn(self._watch(self.child))
+        self.fleet.spawn(self._watch(self.child, self.orders))
 
-    async def _watch(self, child):
+    async def _watch(self, child, orders):
         code = await child.wait()
         if self.fleet.stopping:
             return
-        if not self.stop_requested:
+        if not orders.to_end:
             self.fleet.history.violate("ENDED", "%s exited by itself with code %s" % (self.name, code))
             await asyncio.sleep(RESTART_SECONDS)
             await self.start()
+        elif not orders.killed:
+            self._check_end(code, time.monotonic() - orders.terminated_at)
+
+    def _check_end(self, code, seconds):
+        if code != 0:
+            self.fleet.history.violate("CODE", "%s, told to end, exited with code %s" % (self.name, code))
+        if seconds > GRACE_SECONDS:
+            self.fleet.history.violate("GRACE", "%s ended %.1f s after SIGTERM" % (self.name, seconds))
 
     def signal(self, number):
-        if number in (signal.SIGTERM, signal.SIGKILL):
-            self.stop_requested = True
+        self.orders.record(number)
         if self.running:
-            self.child.send_signal(number)
+            # Not by the child's own method, which may take the exit code from the event loop.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
 
 class Machine:
@@ -255,4 +283,8 @@
                     await process.child.wait()
         if keep_logs:
             shutil.copytree(self.folder, keep_logs, dirs_exist_ok=True, ignore=shutil.ignore_patterns("disk-*"))
+        self.remove()
+
+    def remove(self):
+        """Removes settings, logs and data."""
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/tests/real_starts/main.py
+++ b/tests/real_starts/main.py
@@ -1,11 +1,12 @@
 """Starts fleets of real processes under what a real machine does at a start: ports that are held, data folders that don't exist, processes
-that start in any order, are killed before the first configuration, get signals, or start while their predecessors still run.
+that start in any order, are killed before the first configuration, get signals, or start while their predecessors still run; and ends of
+processes again and again, beside clients that go on using their connections.
 
 Usage: main.py ROOT BUILD --seeds A..B [--cases CASE,...] [--cores N] [--stores N] [--edges N]
 
 The settings say `genesis = true` at the first start of each process alone. Each seed plays every case. Exit code 1: a process
-ended by itself, or a fleet didn't begin, wasn't ready or lost its configuration. It guards against the ends and the fleets that
-never begin of issue 52 (rule FAULT)."""
+ended by itself, one that was told to end did so late or with another code than 0, or a fleet didn't begin, wasn't ready or lost its
+configuration. It guards against the ends and the fleets that never begin of issues 52 and 58 (rule FAULT)."""
 import argparse
 import asyncio
 import os
@@ -19,24 +20,38 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "platform_soak"))
 
 import fleet as fleet_module  # noqa: E402
+from clients import Client  # noqa: E402
 from faults import Operator  # noqa: E402
-from fleet import CONTROL, FIRST_PORT, INGRESS, READINESS, ZONES, Engine, Fleet, Process  # noqa: E402
+from fleet import CONTROL, FIRST_PORT, INGRESS, READINESS, RESTART_SECONDS, ZONES, Engine, Fleet, Process  # noqa: E402
 from history import History  # noqa: E402
 
 READY_SECONDS = 30
 # Of what the inner and http addresses of both roles on a machine use.
 RANGE_PORTS = range(FIRST_PORT, FIRST_PORT + 4)
 MAX_LOG_BYTES = 4096
+# Of the case that ends processes again and again.
+DISTURBED_SECONDS = 8
+CLIENTS = 16
 
 
 class StartingFleet(Fleet):
     """A fleet whose processes may start only later, and whose settings name folders that don't exist yet."""
 
-    def __init__(self, *arguments, **options):
+    def __init__(self, draw, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.started = set()
+        self.operator = Operator(self, self.history, draw)
+        self.started, self.ending = set(), set()
         self.folder_depth = 0
 
+    async def begin(self):
+        """Sends a first configuration until it is acknowledged."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + READY_SECONDS
+        while not self.operator.acknowledged and loop.time() < until:
+            await self.operator.change()
+        if not self.operator.acknowledged:
+            self.history.violate("BEGIN", "no configuration was acknowledged")
+
     def write_settings(self, process):
         self.genesis = process.name not in self.started
         self.started.add(process.name)
@@ -53,12 +68,16 @@
     def processes(self):
         return [process for machine in self.machines for process in machine.processes]
 
-    async def start_in_order(self, processes, pause):
-        """Starts the platform's list and the engines, then the processes, `pause()` seconds apart."""
+    async def start_others(self):
+        """Starts the platform's list and the engines."""
         host, port = self.platform.split(":")
         await asyncio.start_server(self._serve_engine_list, host, int(port))
         for engine in self.engines:
             await engine.start()
+
+    async def start_in_order(self, processes, pause):
+        """Starts the platform's list and the engines, then the processes, `pause()` seconds apart."""
+        await self.start_others()
         for process in processes:
             await process.start()
             await asyncio.sleep(pause())
@@ -152,6 +171,89 @@
         await asyncio.sleep(draw.uniform(0, 0.5))
 
 
+def executes_own_code(process):
+    """Whether the process has a handler of its own for SIGTERM, or threads: before, signals meet the kernel's default actions."""
+    try:
+        with open("/proc/%d/status" % process.child.pid) as file:
+            fields = dict(line.split(":", 1) for line in file)
+        return int(fields["Threads"]) > 1 or int(fields["SigCgt"], 16) >> (signal.SIGTERM - 1) & 1
+    except (OSError, KeyError):
+        return False
+
+
+async def wait_until_own_code(process):
+    while process.running and not executes_own_code(process):
+        await asyncio.sleep(0)
+
+
+async def killed_early(fleet, draw):
+    """One of the seeds is killed so soon after its first start that nothing may be on its disk."""
+    seed = draw.choice(fleet.of_kind("core")[:3]).processes[0]
+    await fleet.start_in_order([seed], lambda: 0)
+    await wait_until_own_code(seed)
+    await asyncio.sleep(draw.choice((0, 0, 0.001, 0.005)))
+    seed.signal(signal.SIGKILL)
+    await seed.child.wait()
+    successor = Process(fleet, seed.machine, seed.role)
+    seed.machine.processes[:] = [successor]
+    for process in fleet.processes:
+        await process.start()
+
+
+async def early_notices(fleet, draw):
+    """All cores are told to end as soon as they execute code of their own, and start again: it isn't the first start any more."""
+    await fleet.start_others()
+    for process in [process for core in fleet.of_kind("core") for process in core.processes]:
+        await process.start()
+        await wait_until_own_code(process)
+        await asyncio.sleep(draw.uniform(0, 0.02))
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            process.signal(number)
+    for process in fleet.processes:
+        if process.child:
+            await process.child.wait()
+        await start_again(fleet, process)
+
+
+async def start_again(fleet, process):
+    """Starts a process that was told to end and has ended, as another object, since its end may not have been judged yet."""
+    successor = Process(fleet, process.machine, process.role)
+    process.machine.processes[process.machine.processes.index(process)] = successor
+    await successor.start()
+
+
+async def end_in_series(fleet, draw):
+    """Tells some processes to end, each up to three times within 50 ms, and starts them again once they have ended."""
+    free = [process for process in fleet.processes if process.running and process not in fleet.ending]
+    chosen = draw.sample(free, min(len(free), draw.choice((1, 1, 2, 3, 5))))
+    fleet.ending.update(chosen)
+    for process in chosen:
+        for _ in range(draw.choice((1, 2, 3))):
+            process.signal(signal.SIGTERM)
+            await asyncio.sleep(draw.choice((0, 0, 0.001, 0.05)))
+    for process in chosen:
+        await process.child.wait()
+        await asyncio.sleep(RESTART_SECONDS)
+        await start_again(fleet, process)
+
+
+async def repeated_notices(fleet, draw):
+    """Processes are told to end in series that overlap, beside clients that keep their connections."""
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+    # Requests that are lost beside several ends at once are no part of this test.
+    ignored = History()
+    await fleet.begin()
+    clients = [fleet.spawn(Client(number, draw.random(), fleet, ignored).run()) for number in range(CLIENTS)]
+    loop = asyncio.get_running_loop()
+    until, series = loop.time() + DISTURBED_SECONDS, []
+    while loop.time() < until:
+        series.append(fleet.spawn(end_in_series(fleet, draw)))
+        await asyncio.sleep(draw.choice((0.1, 0.5, 1)))
+    await asyncio.gather(*series)
+    for client in clients:
+        client.cancel()
+
+
 async def file_size_limit(fleet, draw):
     """No file may grow beyond some kilobytes. Edges have no data; their logs are the files."""
     inherited = fleet_module.die_with_parent
@@ -171,26 +273,20 @@
         fleet_module.die_with_parent = inherited
 
 
-CASES = {case.__name__: case for case in (no_trouble, held_ports, missing_folders, any_order, killed_seeds, signals,
-                                          overlapping_processes, file_size_limit)}
+CASES = {case.__name__: case for case in (no_trouble, held_ports, missing_folders, any_order, killed_seeds, killed_early,
+                                          early_notices, signals, overlapping_processes, repeated_notices, file_size_limit)}
 
 
 async def play(arguments, case, seed):
     draw, history = random.Random("%s %d" % (case, seed)), History()
-    fleet = StartingFleet(arguments.root, os.path.join(arguments.build, "herontally"), history, arguments.edges,
+    fleet = StartingFleet(draw, arguments.root, os.path.join(arguments.build, "herontally"), history, arguments.edges,
                           arguments.cores, arguments.stores)
     for zone in ZONES:
         fleet.engines += [Engine(fleet, service, zone, 64) for service in ("labels", "turns")]
-    operator = Operator(fleet, history, draw)
-    kept = None
+    operator, kept = fleet.operator, None
     try:
         await CASES[case](fleet, draw)
-        loop = asyncio.get_running_loop()
-        until = loop.time() + READY_SECONDS
-        while not operator.acknowledged and loop.time() < until:
-            await operator.change()
-        if not operator.acknowledged:
-            history.violate("BEGIN", "no configuration was acknowledged")
+        await fleet.begin()
         if not await fleet.wait_until(fleet.is_ready, READY_SECONDS):
             history.violate("BEGIN", "not every edge is ready")
         if await operator.read() != operator.acknowledged:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,6 +71,8 @@
             self.history.violate("GRACE", "%s still runs %d s after its signal" % (name, STOP_SECONDS))
             self.history.begin(name, "kill")
             self.fleet.stop([self.node(name)], signal.SIGKILL, STOP_SECONDS)
+        elif number == signal.SIGTERM and self.fleet.exit_code(self.node(name)) not in (0, None):
+            self.history.violate("CODE", "%s, told to end, exited with code %s" % (name, self.fleet.exit_code(self.node(name))))
         return fault
 
     def restart(self, name, number, kind, pause):
--- a/tools/fleetlib.py
+++ b/tools/fleetlib.py
@@ -31,6 +31,7 @@
         self.folder, self.build = os.path.abspath(folder), os.path.abspath(build)
         self.file = os.path.join(self.folder, "fleet.json")
         self.state = json.load(open(self.file)) if os.path.exists(self.file) else None
+        self.children = {}  # by name: those that this object started
 
     def save(self):
         with open(self.file + ".new", "w") as out:
@@ -95,10 +96,16 @@
         log = open(os.path.join(self.folder, "logs", node["name"] + ".log"), "ab")
         process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
         node["pid"] = process.pid
+        self.children[node["name"]] = process
         # The system may reuse the process id; the start time tells the two processes apart.
         node["born"] = birth(process.pid)
         self.save()
 
+    def exit_code(self, node):
+        """The exit code of a node that this object started last; None: it runs, or another started it."""
+        child = self.children.get(node["name"])
+        return child.poll() if child is not None and child.pid == node["pid"] else None
+
     def alive(self, node):
         """Whether the node's process runs or still holds its ports."""
         return node["pid"] and birth(node["pid"]) == node.get("born") and not ended(node["pid"])
