--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -11,6 +11,7 @@
 
 #include "runtime/event_loop_parts.h"
 #include "runtime/overload_manager.h"
+#include "runtime/process_setup.h"
 
 namespace herontally::runtime {
 
@@ -110,17 +111,15 @@
   std::shared_ptr<http_server> server;
   std::shared_ptr<http_client> client;
   std::optional<handle> runtime;
-  std::function<void()> on_termination, on_hangup;
-  struct event* sighup_event = nullptr;
-  struct event* sigterm_event = nullptr;
-  struct event* sigint_event = nullptr;
+  signal_handler on_termination, on_hangup;
+  std::vector<struct event*> signal_events;
 
+  void handle_signal(int number, signal_handler* handler);
   void bind_signals();
 };
 
-static void on_signal(evutil_socket_t, short, void* raw) {
-  auto* self = static_cast<std::function<void()>*>(raw);
-  (*self)();
+static void on_signal(evutil_socket_t number, short, void* raw) {
+  (*static_cast<event_loop::signal_handler*>(raw))(static_cast<int>(number));
 }
 
 static void bind_clocks(backend& table) {
@@ -171,15 +170,17 @@
   return base;
 }
 
+void event_loop::state::handle_signal(int number, signal_handler* handler) {
+  auto* added = evsignal_new(base, number, on_signal, handler);
+  event_add(added, nullptr);
+  signal_events.push_back(added);
+}
+
 void event_loop::state::bind_signals() {
-  sigterm_event = evsignal_new(base, SIGTERM, on_signal, &on_termination);
-  sigint_event = evsignal_new(base, SIGINT, on_signal, &on_termination);
+  for (int number : termination_signals) handle_signal(number, &on_termination);
   // Ignored until a handler is set; the default action of SIGHUP would end the process.
-  on_hangup = [] {};
-  sighup_event = evsignal_new(base, SIGHUP, on_signal, &on_hangup);
-  event_add(sighup_event, nullptr);
-  event_add(sigterm_event, nullptr);
-  event_add(sigint_event, nullptr);
+  on_hangup = [](int) {};
+  handle_signal(SIGHUP, &on_hangup);
 }
 
 event_loop::event_loop(std::string data_directory, const resource_limits& limits)
@@ -203,7 +204,7 @@
   table.connections_shed = [overload = state_->overload] { return overload->closed_connections(); };
   std::uint64_t seed = random_seed(table);
   state_->runtime.emplace(std::move(table), seed);
-  state_->on_termination = [this] { stop(); };
+  state_->on_termination = [this](int) { stop(); };
   state_->bind_signals();
 }
 
@@ -221,9 +222,8 @@
   state_->ready->clear();
   state_->runtime.reset();
   state_->ready.reset();
-  event_free(state_->sighup_event);
-  event_free(state_->sigterm_event);
-  event_free(state_->sigint_event);
+  // The actions from before this loop are in force again.
+  for (auto* each : state_->signal_events) event_free(each);
   state_->overload->stop();
   event_base_free(state_->base);
 }
@@ -231,7 +231,7 @@
 handle event_loop::runtime() const { return *state_->runtime; }
 void event_loop::run() { event_base_dispatch(state_->base); }
 void event_loop::stop() { event_base_loopbreak(state_->base); }
-void event_loop::on_notice(std::function<void()> handler) { state_->on_termination = std::move(handler); }
-void event_loop::on_reload(std::function<void()> handler) { state_->on_hangup = std::move(handler); }
+void event_loop::on_notice(signal_handler handler) { state_->on_termination = std::move(handler); }
+void event_loop::on_reload(signal_handler handler) { state_->on_hangup = std::move(handler); }
 
 }  // namespace herontally::runtime
--- a/src/runtime/process_setup.cc
+++ b/src/runtime/process_setup.cc
@@ -3,21 +3,49 @@
 #include <signal.h>
 #include <sys/resource.h>
 
-#include <initializer_list>
+#include <algorithm>
+#include <iterator>
 
 namespace herontally::runtime {
 
 namespace {
 
-__attribute__((constructor)) void ignore_signals() {
-  // SIGXFSZ: a write beyond the limit of file sizes fails with EFBIG instead, as on a full disk.
-  for (int number : {SIGHUP, SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2}) signal(number, SIG_IGN);
+// Those of a fault in the code itself, those that no process can handle, and those that do nothing by
+// default.
+constexpr int signals_left_alone[] = {SIGILL,  SIGTRAP, SIGABRT, SIGBUS,  SIGFPE, SIGSEGV, SIGSYS,
+                                      SIGKILL, SIGSTOP, SIGCONT, SIGCHLD, SIGURG, SIGWINCH};
+
+volatile sig_atomic_t termination_received = 0;
+
+void record_termination(int) { termination_received = 1; }
+
+bool contains(const int* begin, const int* end, int number) { return std::find(begin, end, number) != end; }
+
+bool has_default_action(int number) {
+  struct sigaction current {};
+  return sigaction(number, nullptr, &current) == 0 && current.sa_handler == SIG_DFL;
 }
 
+// SIGXFSZ among them: a write beyond the limit of file sizes fails with EFBIG instead, as on a full disk.
+void replace_default_actions() {
+  for (int number = 1; number < NSIG; ++number) {
+    if (contains(std::begin(signals_left_alone), std::end(signals_left_alone), number)) continue;
+    bool terminates = contains(std::begin(termination_signals), std::end(termination_signals), number);
+    if (has_default_action(number)) signal(number, terminates ? record_termination : SIG_IGN);
+  }
+}
+
+// Runs before the constructors of all libraries, some of which start threads.
+void set_up_before_libraries(int, char**, char**) { replace_default_actions(); }
+
+__attribute__((section(".preinit_array"),
+               used)) void (*const before_libraries)(int, char**, char**) = set_up_before_libraries;
+
 void unblock_handled_signals() {
   sigset_t handled;
   sigemptyset(&handled);
-  for (int number : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&handled, number);
+  sigaddset(&handled, SIGHUP);
+  for (int number : termination_signals) sigaddset(&handled, number);
   sigprocmask(SIG_UNBLOCK, &handled, nullptr);
 }
 
@@ -32,9 +60,11 @@
 }  // namespace
 
 void set_up_process() {
-  ignore_signals();
+  replace_default_actions();
   unblock_handled_signals();
   raise_descriptor_limit();
 }
 
+bool was_told_to_end() { return termination_received != 0; }
+
 }  // namespace herontally::runtime
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include <iostream>
+#include <utility>
 
 #include "logging/logging.h"
 #include "runtime/event_loop.h"
@@ -25,8 +26,23 @@
   return code;
 }
 
-// Runs a node until SIGTERM or SIGINT and returns the exit code. `Node` has start(), which returns an error
-// message on failure, and leave(), whose duration is limited by notice_milliseconds.
+template <class Node>
+task<> start_node(Node* node, event_loop* loop, int* code, std::string role) {
+  auto error = co_await node->start();
+  if (!error) co_return;
+  fprintf(stderr, "%s: %s\n", role.c_str(), error->c_str());
+  *code = 1;
+  loop->stop();
+}
+
+template <class Node>
+task<> leave_and_stop(Node* node, event_loop* loop) {
+  co_await node->leave();
+  loop->stop();
+}
+
+// Runs a node until a termination signal and returns the exit code. `Node` has start(), which returns an
+// error message on failure, and leave(), whose duration is limited by notice_milliseconds.
 template <class Node, class... Extra>
 int serve_until_terminated(settings::settings config, const std::string& role, Extra... extra) {
   logging::start(role, config.log_level);
@@ -35,28 +51,23 @@
   std::optional<Node> node;
   node.emplace(loop.runtime(), config, logger, extra...);
   int code = 0;
-  auto begin = [](Node* started, event_loop* owner, int* result, std::string name) -> task<> {
-    auto error = co_await started->start();
-    if (!error) co_return;
-    fprintf(stderr, "%s: %s\n", name.c_str(), error->c_str());
-    *result = 1;
-    owner->stop();
-  };
-  loop.runtime().spawn(begin(&*node, &loop, &code, role));
+  loop.runtime().spawn(start_node(&*node, &loop, &code, role));
   loop.runtime().spawn(report_resources_forever(loop.runtime(), logger));
   bool leaving = false;
-  loop.on_notice([&] {
-    if (leaving) return;
-    leaving = true;
-    auto end = [](Node* started, event_loop* owner) -> task<> {
-      co_await started->leave();
-      owner->stop();
-    };
-    loop.runtime().spawn(end(&*node, &loop));
+  auto leave = [&](int signal_number) {
+    if (std::exchange(leaving, true)) return;
+    logger.info("told to end", {{"signal", signal_number}});
+    loop.runtime().spawn(leave_and_stop(&*node, &loop));
     // Bounds the shutdown, even when leave() hangs.
-    loop.runtime().after(config.notice_milliseconds * millisecond, [&loop] { loop.stop(); });
-  });
+    loop.runtime().after(config.notice_milliseconds * millisecond, [&loop, logger] {
+      logger.warn("the notice is over before the shutdown");
+      loop.stop();
+    });
+  };
+  loop.on_notice(leave);
+  if (was_told_to_end()) loop.runtime().post([&leave] { leave(SIGTERM); });
   loop.run();
+  logger.info("ending", {{"exit_code", code}});
   loop.runtime().stop();
   node.reset();
   return code;
