--- a/src/control_node/group_founder.cc
+++ b/src/control_node/group_founder.cc
@@ -15,6 +15,8 @@
 constexpr microseconds start_stagger = 2 * second;
 constexpr microseconds bootstrap_timeout = 3 * second;
 constexpr microseconds retry_delay = 2 * second;
+// A call that installs a view has ended, or its process has, before this time.
+constexpr microseconds late_installation_time = 4 * second;
 constexpr microseconds completion_check_period = 500 * millisecond;
 constexpr microseconds identify_timeout = 500 * millisecond;
 constexpr microseconds write_timeout = 2 * second;
@@ -50,28 +52,70 @@
   return founders;
 }
 
-// A seed without the claim may have lost a disk that held the group's first view. Were it founded again
-// without that, there would be two groups.
-task<bool> group_founder::confirm_claims() {
+// Nothing if a seed can't be reached, or has the claim of another first start.
+task<std::optional<group_founder::claim_survey>> group_founder::survey_claims() {
   auto self = shared_from_this();
-  auto shared = self->context_;
   auto claim = self->voter_.claim();
+  claim_survey survey;
   for (auto& address : claim.seeds) {
     rpc::founding_claim_request request{core_group};
-    auto result = co_await shared->endpoint.call(address, std::move(request), identify_timeout);
+    auto result = co_await self->context_->endpoint.call(address, std::move(request), identify_timeout);
     auto* reply = std::get_if<rpc::founding_claim_reply>(&result);
-    if (reply && reply->seeds == claim.seeds) continue;
-    auto* reason = reply ? "a seed has no claim from the first start" : "a seed can't be reached";
-    self->founding_log_.failed(std::string(reason) + ": " + address);
+    bool has_claim = reply && reply->seeds == claim.seeds;
+    if (!reply || (!has_claim && !reply->seeds.empty())) {
+      auto* reason = reply ? "a seed has another claim" : "a seed can't be reached";
+      self->founding_log_.failed(std::string(reason) + ": " + address);
+      co_return std::nullopt;
+    }
+    (has_claim ? survey.with_claim : survey.without_claim).push_back(address);
+  }
+  co_return survey;
+}
+
+task<bool> group_founder::has_no_view(std::string address) {
+  auto self = shared_from_this();
+  rpc::identify_request request{core_group};
+  auto result = co_await self->context_->endpoint.call(address, std::move(request), identify_timeout);
+  auto* reply = std::get_if<rpc::identify_reply>(&result);
+  co_return reply && !reply->voter.empty() && reply->empty && reply->view.empty();
+}
+
+// A seed without the claim ended before it had stored that, or has lost its disk, which may have held the
+// group's first view. It can't tell which. But no value was ever chosen under a first view that a majority of
+// its voters don't have installed, so that a majority with the claim and without a view may found the group,
+// together with empty seeds. This must hold for a while, since calls of a founder that has ended may still be
+// under way and install its view.
+task<bool> group_founder::confirm_claims(std::vector<voter_info> founders) {
+  auto self = shared_from_this();
+  auto now = self->context_->runtime.now();
+  auto confirmed_since = std::exchange(self->majority_confirmed_since_, -1);
+  auto survey = co_await self->survey_claims();
+  if (!survey) co_return false;
+  if (survey->without_claim.empty()) co_return true;
+  std::size_t confirmed = 0;
+  for (auto& address : survey->with_claim) {
+    bool founds = std::any_of(founders.begin(), founders.end(),
+                              [&](const voter_info& founder) { return founder.address == address; });
+    if (!founds) continue;
+    bool unused = co_await self->has_no_view(address);
+    confirmed += unused ? 1 : 0;
+  }
+  bool others_empty = true;
+  for (auto& address : survey->without_claim)
+    others_empty = co_await self->has_no_view(address) && others_empty;
+  if (confirmed * 2 <= founders.size() || !others_empty) {
+    self->founding_log_.failed("a seed has no claim from the first start: " + survey->without_claim.front());
     co_return false;
   }
-  co_return true;
+  self->majority_confirmed_since_ = confirmed_since < 0 ? now : confirmed_since;
+  self->founding_log_.failed("waiting, since a seed has no claim: " + survey->without_claim.front());
+  co_return now - self->majority_confirmed_since_ >= late_installation_time;
 }
 
 task<> group_founder::try_bootstrap_core_group(std::vector<voter_info> founders) {
   auto self = shared_from_this();
   auto shared = self->context_;
-  bool confirmed = co_await self->confirm_claims();
+  bool confirmed = co_await self->confirm_claims(founders);
   if (!confirmed) {
     co_await shared->runtime.sleep(retry_delay);
     co_return;
--- a/src/control_node/group_founder.h
+++ b/src/control_node/group_founder.h
@@ -25,8 +25,15 @@
 
  private:
   using voter_info = consensus::voter_info;
+  // Which of the seeds of the first start still have the claim.
+  struct claim_survey {
+    std::vector<std::string> with_claim, without_claim;  // inner addresses
+  };
+
   std::optional<std::vector<voter_info>> initial_core_voters() const;
-  task<bool> confirm_claims();
+  task<std::optional<claim_survey>> survey_claims();
+  task<bool> has_no_view(std::string address);
+  task<bool> confirm_claims(std::vector<voter_info> founders);
   task<> try_bootstrap_core_group(std::vector<voter_info> founders);
   task<bool> write_core_view();
   task<std::vector<voter_info>> initial_storage_voters();
@@ -37,6 +44,7 @@
   std::shared_ptr<context> context_;
   replication::voter voter_;  // of this node
   runtime::retry_log founding_log_;
+  microseconds majority_confirmed_since_ = -1;   // -1: not confirmed, or by all seeds
   std::size_t storage_count_ = 0;                // storage machines that were alive at the last check
   microseconds storage_count_stable_since_ = 0;  // since when that number is the same
 };
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -209,6 +209,15 @@
   return {shared.engine_list_role.status(), shared.voter_groups_role.status(), shared.calendar_role.status()};
 }
 
+// A core that is told to end during its first start stores its claim before it ends: its next start is no
+// first start, and gives it none.
+static task<> wait_until_claim_is_stored(std::shared_ptr<context> shared, replication::voter voter) {
+  constexpr microseconds longest_wait = second, poll_period = 5 * millisecond;
+  if (claim_of(shared->node_settings).seeds.empty()) co_return;
+  auto until = shared->runtime.now() + longest_wait;
+  while (!voter.is_open() && shared->runtime.now() < until) co_await shared->runtime.sleep(poll_period);
+}
+
 task<> node::leave() {
   // Clients have this long to close their connections. After it only operators' calls that were already read
   // are waited for: they still get their answer.
@@ -216,7 +225,9 @@
   // Left of the notice for the process to end by itself.
   constexpr std::int64_t reserve_milliseconds = 200;
   auto shared = state_->shared;
+  auto voter = state_->voter;
   shared->leaving = true;
+  co_await wait_until_claim_is_stored(shared, voter);
   auto drain_until = shared->runtime.now() + drain_time;
   auto drain_deadline = shared->runtime.now() +
                         (shared->node_settings.notice_milliseconds - reserve_milliseconds) * millisecond;
--- a/src/replication/voter.cc
+++ b/src/replication/voter.cc
@@ -32,6 +32,7 @@
 
 const std::string& voter::id() const { return state_->shared->identity; }
 void voter::offer_claim(founding_claim claim) { state_->offered_claim = std::move(claim); }
+bool voter::is_open() const { return state_->shared->opened; }
 const founding_claim& voter::claim() const { return state_->shared->claim; }
 const view& voter::current_view() const { return state_->shared->current_view; }
 const replica_storage::record_store& voter::records() const { return state_->shared->records; }
--- a/src/replication/voter.h
+++ b/src/replication/voter.h
@@ -33,6 +33,8 @@
   runtime::task<std::optional<open_error>> open();
   // Opens the voter, and retries while the disk can't be read or written or another process uses it.
   runtime::task<> open_when_possible();
+  // Whether the disk has been read, and what a first start stores there is stored.
+  bool is_open() const;
   // The stored right to create the group's first view.
   const founding_claim& claim() const;
   // The identity by which views name this voter.
