--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -6,7 +6,10 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <climits>
 #include <cstdio>
 #include <unordered_map>
 
@@ -59,34 +62,58 @@
   state_->line_sink = std::move(line_sink);
 }
 
-static void emit(log4cplus::LogLevel level, const char* level_name, const std::string& node,
-                 const logger::sink& line_sink, const std::string& event, json fields) {
+// Whether a line of up to `max_line_bytes` can be written without waiting for whoever reads the log: a pipe
+// that is reported writable takes that much at once.
+static bool log_is_writable() {
+  pollfd standard_error{STDERR_FILENO, POLLOUT, 0};
+  return poll(&standard_error, 1, 0) != 0;
+}
+
+static std::string line_of(const json& fields) {
+  return fields.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+static void emit(log4cplus::LogLevel level, const char* level_name, const logger& target,
+                 const std::string& node, const logger::sink& line_sink, const std::string& event,
+                 json fields) {
+  // Includes the line break.
+  constexpr std::size_t max_line_bytes = PIPE_BUF - 1;
   // Disabled levels return before any text is built.
   if (!line_sink && !root_logger().isEnabledFor(level)) return;
   fields["level"] = level_name;
   fields["node"] = node;
   fields["event"] = event;
   if (line_sink) return line_sink(level_name, fields);
-  fields["time_us"] = std::chrono::duration_cast<std::chrono::microseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-  root_logger().log(level, fields.dump(-1, ' ', false, json::error_handler_t::replace));
+  // A process must not stand still because nobody reads its log.
+  if (!log_is_writable()) return target.count("herontally_log_lines_dropped_total");
+  auto time = std::chrono::duration_cast<std::chrono::microseconds>(
+                  std::chrono::system_clock::now().time_since_epoch())
+                  .count();
+  fields["time_us"] = time;
+  auto line = line_of(fields);
+  if (line.size() > max_line_bytes)
+    line = line_of({{"level", level_name},
+                    {"node", node},
+                    {"event", event},
+                    {"time_us", time},
+                    {"omitted_bytes", line.size()}});
+  root_logger().log(level, line);
 }
 
 bool logger::logs_info() const {
   return state_->line_sink || root_logger().isEnabledFor(log4cplus::INFO_LOG_LEVEL);
 }
 void logger::debug(const std::string& event, json fields) const {
-  emit(log4cplus::DEBUG_LOG_LEVEL, "debug", state_->node, state_->line_sink, event, std::move(fields));
+  emit(log4cplus::DEBUG_LOG_LEVEL, "debug", *this, state_->node, state_->line_sink, event, std::move(fields));
 }
 void logger::info(const std::string& event, json fields) const {
-  emit(log4cplus::INFO_LOG_LEVEL, "info", state_->node, state_->line_sink, event, std::move(fields));
+  emit(log4cplus::INFO_LOG_LEVEL, "info", *this, state_->node, state_->line_sink, event, std::move(fields));
 }
 void logger::warn(const std::string& event, json fields) const {
-  emit(log4cplus::WARN_LOG_LEVEL, "warn", state_->node, state_->line_sink, event, std::move(fields));
+  emit(log4cplus::WARN_LOG_LEVEL, "warn", *this, state_->node, state_->line_sink, event, std::move(fields));
 }
 void logger::error(const std::string& event, json fields) const {
-  emit(log4cplus::ERROR_LOG_LEVEL, "error", state_->node, state_->line_sink, event, std::move(fields));
+  emit(log4cplus::ERROR_LOG_LEVEL, "error", *this, state_->node, state_->line_sink, event, std::move(fields));
 }
 
 void logger::count(std::string_view name, double amount) const {
--- a/src/logging/logging.h
+++ b/src/logging/logging.h
@@ -23,7 +23,9 @@
   // Gets the line's fields, among them "level", "node" and "event", at every level. Used by simulated nodes
   // and tests.
   using sink = std::function<void(const std::string& level, const json& line)>;
-  // Without a sink, lines are written to standard error through log4cplus, with a "time_us" field added.
+  // Without a sink, lines are written to standard error through log4cplus, with a "time_us" field added. A
+  // line that would have to wait for its reader is dropped and counted; of one beyond PIPE_BUF bytes only the
+  // event is written.
   explicit logger(std::string node, sink line_sink = {});
   // Logs an event: a fixed text, with its details in further fields.
   void debug(const std::string& event, json fields = json::object()) const;
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -9,6 +9,7 @@
 #include <deque>
 #include <unordered_map>
 
+#include "logging/logging.h"
 #include "runtime/event_loop_parts.h"
 #include "runtime/overload_manager.h"
 #include "runtime/process_setup.h"
@@ -162,7 +163,14 @@
   return seed;
 }
 
+// libevent writes its messages to standard error by itself otherwise, and waits for whoever reads that.
+static void log_library_message(int severity, const char* text) {
+  static const logging::logger logger("libevent");
+  if (severity >= EVENT_LOG_WARN) logger.warn("message of the event library", {{"text", text}});
+}
+
 static event_base* make_event_base() {
+  event_set_log_callback(log_library_message);
   auto* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
   auto* base = event_base_new_with_config(config);
--- a/src/runtime/process_setup.cc
+++ b/src/runtime/process_setup.cc
@@ -1,7 +1,9 @@
 #include "runtime/process_setup.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <iterator>
@@ -35,8 +37,18 @@
   }
 }
 
+// A file or socket that is opened later would get the number of a closed standard stream, and then what is
+// written there.
+void open_closed_standard_streams() {
+  for (int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+    if (fcntl(descriptor, F_GETFD) < 0) open("/dev/null", O_RDWR);
+}
+
 // Runs before the constructors of all libraries, some of which start threads.
-void set_up_before_libraries(int, char**, char**) { replace_default_actions(); }
+void set_up_before_libraries(int, char**, char**) {
+  replace_default_actions();
+  open_closed_standard_streams();
+}
 
 __attribute__((section(".preinit_array"),
                used)) void (*const before_libraries)(int, char**, char**) = set_up_before_libraries;
--- a/src/runtime/process_setup.h
+++ b/src/runtime/process_setup.h
@@ -1,4 +1,5 @@
-// What a daemon sets for its whole process before anything else: signals and the limit of descriptors.
+// What a daemon sets for its whole process before anything else: signals, standard streams and the limit of
+// descriptors.
 #pragma once
 
 #include <signal.h>
@@ -12,7 +13,7 @@
 // code: termination signals are recorded, all others ignored. Unblocks those that the event loop handles,
 // which a parent may have blocked. Raises the soft limit of descriptors to the hard limit.
 //
-// A program that links this has its signals set up already before the
+// A program that links this has its signals and closed standard streams set up already before the
 // constructors of its libraries run, as a new process may get a signal at any moment.
 void set_up_process();
 
--- a/tests/platform_soak/fleet.py
+++ b/tests/platform_soak/fleet.py
@@ -68,7 +68,7 @@
         self.orders = Orders()
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG", "LSAN_OPTIONS") if name in os.environ}
         environment["HERONTALLY_SETTINGS"] = self.fleet.write_settings(self)
-        with open(os.path.join(self.fleet.folder, "%s-%s.log" % (self.machine.name, self.role)), "ab") as log:
+        with self.fleet.open_log(self) as log:
             self.child = await asyncio.create_subprocess_exec(
                 self.fleet.program, *self.fleet.arguments[self.role], cwd=self.fleet.folder, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=asyncio.subprocess.STDOUT,
@@ -214,6 +214,10 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def open_log(self, process):
+        """The file that takes a process's standard output and error."""
+        return open(os.path.join(self.folder, "%s-%s.log" % (process.machine.name, process.role)), "ab")
+
     def write_settings(self, process):
         machine, edge = process.machine, process.machine.kind == "edge"
         seeds = [core.address(CONTROL) for core in self.of_kind("core")][:3]
--- a/tests/real_starts/main.py
+++ b/tests/real_starts/main.py
@@ -9,6 +9,7 @@
 configuration. It guards against the ends and the fleets that never begin of issues 52 and 58 (rule FAULT)."""
 import argparse
 import asyncio
+import fcntl
 import os
 import random
 import resource
@@ -22,7 +23,7 @@
 import fleet as fleet_module  # noqa: E402
 from clients import Client  # noqa: E402
 from faults import Operator  # noqa: E402
-from fleet import CONTROL, FIRST_PORT, INGRESS, READINESS, RESTART_SECONDS, ZONES, Engine, Fleet, Process  # noqa: E402
+from fleet import CONTROL, FIRST_PORT, GRACE_SECONDS, INGRESS, READINESS, RESTART_SECONDS, ZONES, Engine, Fleet, Process  # noqa: E402
 from history import History  # noqa: E402
 
 READY_SECONDS = 30
@@ -32,6 +33,10 @@
 # Of the case that ends processes again and again.
 DISTURBED_SECONDS = 8
 CLIENTS = 16
+SMALL_PIPE_BYTES = 4096
+# Until a process that was told to end is taken for one that hangs.
+END_SECONDS = 2 * GRACE_SECONDS
+STANDARD_STREAMS = (0, 1, 2)
 
 
 class StartingFleet(Fleet):
@@ -41,7 +46,16 @@
         super().__init__(*arguments, **options)
         self.operator = Operator(self, self.history, draw)
         self.started, self.ending = set(), set()
-        self.folder_depth = 0
+        self.folder_depth, self.unread_logs, self.pipes = 0, False, []
+
+    def open_log(self, process):
+        """With `unread_logs` a small pipe that nobody reads."""
+        if not self.unread_logs:
+            return super().open_log(process)
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, SMALL_PIPE_BYTES)
+        self.pipes.append(reader)
+        return os.fdopen(writer, "wb")
 
     async def begin(self):
         """Sends a first configuration until it is acknowledged."""
@@ -257,6 +271,51 @@
         client.cancel()
 
 
+async def unread_logs(fleet, draw):
+    """Nobody reads the logs: after some lines their pipe is full. Processes serve on, and end when they are told to."""
+    fleet.unread_logs = True
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+    await fleet.begin()
+    for _ in range(20):
+        for process in fleet.processes:
+            process.signal(signal.SIGHUP)
+        await fleet.operator.change()
+    for process in fleet.processes:
+        process.signal(signal.SIGTERM)
+    for process in fleet.processes:
+        if not await fleet.wait_until(lambda: has_ended(process), END_SECONDS):
+            fleet.history.violate("GRACE", "%s, told to end, still runs" % process.name)
+            process.signal(signal.SIGKILL)
+            await process.child.wait()
+        await start_again(fleet, process)
+
+
+async def has_ended(process):
+    return not process.running
+
+
+async def closed_streams(fleet, draw):
+    """Standard input, output and error are closed: no file or socket may take their numbers, and get what is logged."""
+    inherited = fleet_module.die_with_parent
+
+    def closed():
+        inherited()
+        for descriptor in STANDARD_STREAMS:
+            os.close(descriptor)
+
+    fleet_module.die_with_parent = closed
+    try:
+        await fleet.start_in_order(fleet.processes, lambda: 0)
+    finally:
+        fleet_module.die_with_parent = inherited
+    await fleet.begin()
+    for process in fleet.processes:
+        for descriptor in STANDARD_STREAMS:
+            target = os.readlink("/proc/%d/fd/%d" % (process.child.pid, descriptor))
+            if target != os.devnull:
+                fleet.history.violate("STREAM", "%s has %s as descriptor %d" % (process.name, target, descriptor))
+
+
 async def file_size_limit(fleet, draw):
     """No file may grow beyond some kilobytes. Edges have no data; their logs are the files."""
     inherited = fleet_module.die_with_parent
@@ -277,7 +336,8 @@
 
 
 CASES = {case.__name__: case for case in (no_trouble, held_ports, missing_folders, any_order, killed_seeds, killed_early,
-                                          early_notices, signals, overlapping_processes, repeated_notices, file_size_limit)}
+                                          early_notices, signals, overlapping_processes, repeated_notices, unread_logs, closed_streams,
+                                          file_size_limit)}
 
 
 async def play(arguments, case, seed):
