--- a/src/agent/config_feed.cc
+++ b/src/agent/config_feed.cc
@@ -62,7 +62,7 @@
   }
   // A seed that isn't a core refuses the request, and the next address is tried.
   auto& addresses = cores_.empty() ? context_->node_settings.seeds : cores_;
-  return addresses[core_index_ % addresses.size()];
+  return addresses.empty() ? "" : addresses[core_index_ % addresses.size()];
 }
 
 void config_feed::apply_core_reply(const rpc::config_update_reply& reply, microseconds requested_at) {
@@ -78,6 +78,10 @@
   self->core_index_ = shared->runtime.draw(3);
   while (true) {
     std::string address = self->current_core_address();
+    if (address.empty()) {
+      co_await shared->runtime.sleep(retry_delay);
+      continue;
+    }
     auto request = self->update_request();
     request.applied_revision = self->applied_revision_();
     request.wait_milliseconds = poll_wait_milliseconds;
--- a/src/control_node/node.cc
+++ b/src/control_node/node.cc
@@ -209,7 +209,7 @@
   return {shared.engine_list_role.status(), shared.voter_groups_role.status(), shared.calendar_role.status()};
 }
 
-// A core that is told to end during its first start stores its claim before it ends: its next start is no
+// A core that is asked to end during its first start stores its claim before it ends: its next start is no
 // first start, and gives it none.
 static task<> wait_until_claim_is_stored(std::shared_ptr<context> shared, replication::voter voter) {
   constexpr microseconds longest_wait = second, poll_period = 5 * millisecond;
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -106,12 +106,10 @@
 task<> member_list::state::exchange_with_random_peer(std::optional<member> target) {
   auto here = shared_from_this();
   auto runtime = here->endpoint.runtime();
-  std::string address = here->seeds[here->next_seed_ % here->seeds.size()];
-  bool use_seed = target && runtime.draw(here->seeds.size() + here->names.size()) < here->seeds.size();
-  if (!target || use_seed)
-    ++here->next_seed_;
-  else
-    address = here->random_address();
+  auto& seeds = here->seeds;
+  bool use_seed =
+      !seeds.empty() && (!target || runtime.draw(seeds.size() + here->names.size()) < seeds.size());
+  std::string address = use_seed ? seeds[here->next_seed_++ % seeds.size()] : here->random_address();
   if (address.empty()) co_return;
   if (address != here->self.inner) co_await here->probe(address, true, here->options.direct_timeout);
 }
--- a/src/runtime/process_setup.cc
+++ b/src/runtime/process_setup.cc
@@ -77,6 +77,6 @@
   raise_descriptor_limit();
 }
 
-bool was_told_to_end() { return termination_received != 0; }
+bool termination_requested() { return termination_received != 0; }
 
 }  // namespace herontally::runtime
--- a/src/runtime/process_setup.h
+++ b/src/runtime/process_setup.h
@@ -18,6 +18,6 @@
 void set_up_process();
 
 // Whether a termination signal arrived while no event loop handled them.
-bool was_told_to_end();
+bool termination_requested();
 
 }  // namespace herontally::runtime
--- a/src/runtime/program.h
+++ b/src/runtime/program.h
@@ -56,7 +56,7 @@
   bool leaving = false;
   auto leave = [&](int signal_number) {
     if (std::exchange(leaving, true)) return;
-    logger.info("told to end", {{"signal", signal_number}});
+    logger.info("termination requested", {{"signal", signal_number}});
     loop.runtime().spawn(leave_and_stop(&*node, &loop));
     // Bounds the shutdown, even when leave() hangs.
     loop.runtime().after(config.notice_milliseconds * millisecond, [&loop, logger] {
@@ -65,7 +65,7 @@
     });
   };
   loop.on_notice(leave);
-  if (was_told_to_end()) loop.runtime().post([&leave] { leave(SIGTERM); });
+  if (termination_requested()) loop.runtime().post([&leave] { leave(SIGTERM); });
   loop.run();
   logger.info("ending", {{"exit_code", code}});
   loop.runtime().stop();
--- a/tests/process_setup_test.cc
+++ b/tests/process_setup_test.cc
@@ -49,7 +49,7 @@
   runtime::set_up_process();
   { runtime::event_loop loop("/tmp"); }
   for (int number : runtime::termination_signals) REQUIRE(raise(number) == 0);
-  REQUIRE(runtime::was_told_to_end());
+  REQUIRE(runtime::termination_requested());
 }
 
 TEST_CASE("FAULT: signals that nobody handles don't end the process, also after the event loop is gone") {
--- a/tests/real_starts/main.py
+++ b/tests/real_starts/main.py
@@ -12,6 +12,7 @@
 import fcntl
 import os
 import random
+import re
 import resource
 import signal
 import socket
@@ -46,7 +47,7 @@
         super().__init__(*arguments, **options)
         self.operator = Operator(self, self.history, draw)
         self.started, self.ending = set(), set()
-        self.folder_depth, self.unread_logs, self.pipes = 0, False, []
+        self.folder_depth, self.unread_logs, self.pipes, self.bootstrap = 0, False, [], True
 
     def open_log(self, process):
         """With `unread_logs` a small pipe that nobody reads."""
@@ -70,6 +71,11 @@
         self.genesis = process.name not in self.started
         self.started.add(process.name)
         path = super().write_settings(process)
+        if not self.bootstrap:
+            with open(path) as file:
+                text = file.read()
+            with open(path, "w") as file:
+                file.write(re.sub(r"bootstrap = \[.*\]", "bootstrap = []", text))
         if self.folder_depth and process.machine.kind != "edge":
             with open(path) as file:
                 text = file.read()
@@ -294,6 +300,19 @@
     return not process.running
 
 
+async def empty_bootstrap(fleet, draw):
+    """One process of each role starts again while no machine serves control: its settings name no other node."""
+    await fleet.start_in_order(fleet.processes, lambda: 0)
+    await fleet.begin()
+    await fleet.wait_until(fleet.is_ready, READY_SECONDS)
+    fleet.bootstrap = False
+    for process in [fleet.of_kind("core")[0].processes[0], fleet.of_kind("storage")[0].processes[0], *fleet.of_kind("edge")[0].processes]:
+        process.signal(signal.SIGTERM)
+        await process.child.wait()
+        await start_again(fleet, process)
+    await asyncio.sleep(1)
+
+
 async def closed_streams(fleet, draw):
     """Standard input, output and error are closed: no file or socket may take their numbers, and get what is logged."""
     inherited = fleet_module.die_with_parent
@@ -336,8 +355,8 @@
 
 
 CASES = {case.__name__: case for case in (no_trouble, held_ports, missing_folders, any_order, killed_seeds, killed_early,
-                                          early_notices, signals, overlapping_processes, repeated_notices, unread_logs, closed_streams,
-                                          file_size_limit)}
+                                          early_notices, signals, overlapping_processes, repeated_notices, empty_bootstrap, unread_logs,
+                                          closed_streams, file_size_limit)}
 
 
 async def play(arguments, case, seed):
