--- a/src/runtime/process_setup.cc
+++ b/src/runtime/process_setup.cc
@@ -23,18 +23,22 @@
 
 bool contains(const int* begin, const int* end, int number) { return std::find(begin, end, number) != end; }
 
-bool has_default_action(int number) {
+// Replaces the default action, or with `also_ignored` also a parent's choice to ignore the signal; a handler
+// stays.
+void replace_action(int number, sighandler_t action, bool also_ignored) {
   struct sigaction current {};
-  return sigaction(number, nullptr, &current) == 0 && current.sa_handler == SIG_DFL;
+  if (sigaction(number, nullptr, &current) != 0) return;
+  bool replaced = current.sa_handler == SIG_DFL || (also_ignored && current.sa_handler == SIG_IGN);
+  if (replaced) signal(number, action);
 }
 
-// SIGXFSZ among them: a write beyond the limit of file sizes fails with EFBIG instead, as on a full disk.
+// SIGXFSZ among the ignored ones: a write beyond the limit of file sizes fails with EFBIG instead, as on a
+// full disk.
 void replace_default_actions() {
-  for (int number = 1; number < NSIG; ++number) {
-    if (contains(std::begin(signals_left_alone), std::end(signals_left_alone), number)) continue;
-    bool terminates = contains(std::begin(termination_signals), std::end(termination_signals), number);
-    if (has_default_action(number)) signal(number, terminates ? record_termination : SIG_IGN);
-  }
+  for (int number : termination_signals) replace_action(number, record_termination, true);
+  for (int number = 1; number < NSIG; ++number)
+    if (!contains(std::begin(signals_left_alone), std::end(signals_left_alone), number))
+      replace_action(number, SIG_IGN, false);
 }
 
 // A file or socket that is opened later would get the number of a closed standard stream, and then what is
--- a/tests/process_signals/main.py
+++ b/tests/process_signals/main.py
@@ -4,6 +4,7 @@
 Usage: main.py ROOT BUILD CASE [--seeds A..B]
 
     first_instructions      SIGTERM or SIGHUP as soon as the libraries have begun to initialise
+    ignored_by_the_parent   the same, of a process whose parent ignored them
     drawn_moments           a series of signals that begins up to 30 ms after the start
     repeated_termination    SIGTERM again and again until the process is gone
     other_signals           every signal but SIGKILL, SIGSTOP and those of faults in the code
@@ -34,17 +35,24 @@
 STARTED_SECONDS = 0.4
 
 
+def prepare(ignored):
+    """What happens between fork and exec; an ignored signal stays so in the program."""
+    die_with_parent()
+    for number in ignored:
+        signal.signal(number, signal.SIG_IGN)
+
+
 class Process:
     """One process of a role, alone: none of the nodes that its settings name is there."""
 
-    def __init__(self, fleet, role):
+    def __init__(self, fleet, role, ignored=()):
         described = next(process for machine in fleet.machines for process in machine.processes if process.role == role)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG", "LSAN_OPTIONS") if name in os.environ}
         environment["HERONTALLY_SETTINGS"] = fleet.write_settings(described)
         self.role = role
         self._child = subprocess.Popen([fleet.program, *fleet.arguments[role]], cwd=fleet.folder, env=environment,
                                        stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
-                                       preexec_fn=die_with_parent)
+                                       preexec_fn=lambda: prepare(ignored))
 
     @property
     def ended(self):
@@ -102,6 +110,14 @@
         process.check_end(violations, "sent an early " + number.name)
 
 
+def ignored_by_the_parent(fleet, role, draw, violations):
+    for number in TERMINATIONS:
+        process = Process(fleet, role, ignored=TERMINATIONS)
+        process.wait_until_initialising()
+        process.send(number)
+        process.check_end(violations, "started with %s ignored and sent it early" % number.name)
+
+
 def drawn_moments(fleet, role, draw, violations):
     for _ in range(6):
         process = Process(fleet, role)
@@ -141,7 +157,7 @@
     process.check_end(violations, "sent SIGQUIT")
 
 
-CASES = {case.__name__: case for case in (first_instructions, drawn_moments, repeated_termination, other_signals)}
+CASES = {case.__name__: case for case in (first_instructions, ignored_by_the_parent, drawn_moments, repeated_termination, other_signals)}
 
 
 def play(arguments, seed):
