--- a/src/logging/logging.cc
+++ b/src/logging/logging.cc
@@ -9,8 +9,10 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <climits>
 #include <cstdio>
+#include <iostream>
 #include <unordered_map>
 
 namespace herontally::logging {
@@ -66,7 +68,11 @@
 // that is reported writable takes that much at once.
 static bool log_is_writable() {
   pollfd standard_error{STDERR_FILENO, POLLOUT, 0};
-  return poll(&standard_error, 1, 0) != 0;
+  int ready = 0;
+  do {
+    ready = poll(&standard_error, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready != 0;
 }
 
 static std::string line_of(const json& fields) {
@@ -97,6 +103,8 @@
                     {"event", event},
                     {"time_us", time},
                     {"omitted_bytes", line.size()}});
+  // After a failed write, as on a full disk, the stream would write nothing any more.
+  std::cerr.clear();
   root_logger().log(level, line);
 }
 
