--- a/tests/founding_restart_test.cc
+++ b/tests/founding_restart_test.cc
@@ -97,6 +97,24 @@
   }
 }
 
+TEST_CASE(
+    "FAULT: founding without the claim of one seed is completed when it was interrupted by an end of all "
+    "seeds") {
+  for (int installed = 1; installed <= 2; ++installed) {
+    control_site site(460 + static_cast<std::uint64_t>(installed));
+    site.boot_all();
+    site.world.run_for(10 * millisecond);
+    kill_seeds(site, simulator::disk_loss::none);
+    site.world.find("c3").disk.files.clear();
+    restart_seeds_without_genesis(site);
+    REQUIRE(site.world.run_until([&] { return site.logged("view installed") >= installed; }, 20 * second));
+    kill_seeds(site, simulator::disk_loss::none);
+    restart_seeds_without_genesis(site);
+    INFO("installed at " << installed);
+    REQUIRE(site.status("c1", "POST", "/-/config/replace", site.table(5), "0") == 200);
+  }
+}
+
 TEST_CASE("a single seed with a claim doesn't found a group beside seeds without one, and the log says why") {
   control_site site(451);
   site.boot_all();
