--- a/src/runtime/http_server_parts.h
+++ b/src/runtime/http_server_parts.h
@@ -92,7 +92,7 @@
   std::vector<std::unique_ptr<server_connection>> accepted;
   struct event* adopt_event = nullptr;
   std::unordered_map<lingering_close*, std::unique_ptr<lingering_close>> lingering;
-  // Whose clients have disconnected, until their handlers are told.
+  // Whose clients have disconnected, until their handlers are notified.
   std::vector<std::shared_ptr<server_exchange>> disconnected;
   struct event* disconnect_event = nullptr;
   ~http_server();
@@ -110,7 +110,7 @@
 bufferevent* make_server_stream(event_base* base, void* raw);
 // Takes over the accepted connections once evhttp has set them up.
 void adopt_connections(http_server* owner);
-// Tells the handlers of the exchanges whose clients have disconnected.
+// Notifies the handlers of the exchanges whose clients have disconnected.
 void run_disconnect_callbacks(http_server* owner);
 // Closes a connection, whatever it is doing. Not from within a callback of the connection.
 void close_server_connection(server_connection* connection);
