--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -2,6 +2,7 @@
 of the deploy file, and stand-ins for engines, the platform's list of engines and the operator. All stand-ins behave as
 PROTOCOL.md says. Faults are injected by the scripts themselves."""
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -113,6 +114,11 @@
             writer.close()
 
 
+def end_with_parent():
+    """Makes the kernel end this process with its parent (PR_SET_PDEATHSIG), also when a time limit ends that."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Process:
     """One role on one machine."""
 
@@ -125,7 +131,7 @@
         path = os.path.join(self.fleet.folder, "%s-%s.log" % (self.machine.name, self.role))
         with open(path, "ab") as log:
             self.child = subprocess.Popen(self.fleet.commands[self.role], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                                          stdout=log, stderr=log)
+                                          stdout=log, stderr=log, preexec_fn=end_with_parent)
 
     @property
     def running(self):
