--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -237,6 +237,7 @@
             if not os.access(command[0], os.X_OK):
                 raise CannotRun("%s isn't built" % command[0])
         self.record, self.runs, self.genesis = record, {}, True
+        self.seeds = None  # what `bootstrap` lists; None: the first cores
         self.folder = tempfile.mkdtemp(prefix="herontally-review-")
         self._network, self._hosts = self._find_free_network(), 10
         self.platform = "%s:%d" % (self.next_ip(), PLATFORM)
@@ -270,10 +271,13 @@
     def of_kind(self, kind):
         return [machine for machine in self.machines if machine.kind == kind]
 
+    def current_seeds(self):
+        return [core.address(CONTROL) for core in self.of_kind("core")][:3]
+
     def write_settings(self, process):
         machine, role = process.machine, process.role
         memory, descriptors, disk = CAPS[machine.kind]
-        seeds = [core.address(CONTROL) for core in self.of_kind("core")][:3]
+        seeds = self.current_seeds() if self.seeds is None else self.seeds
         lines = ['node = "%s"' % machine.name, 'role = "%s"' % role, 'machine_class = "%s"' % machine.kind,
                  "serves = [%s]" % ("" if role == "agent" else SERVES[machine.kind]), 'ip = "%s"' % machine.ip,
                  'zone = "%s"' % machine.zone, 'region = "region"', "port_range = [%d,%d]" % (FIRST_PORT, LAST_PORT),
