--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,10 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+# Writes what was sent, answered and run to record.txt beside it. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
+# case couldn't run. TROUBLE=0: without the disruption.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+rm -f "$folder/record.txt"
 command -v python3 > /dev/null || exit 2
-exec timeout 118 python3 "$(dirname "$0")/case.py"
+timeout 118 python3 "$folder/case.py"
+code=$?
+[ $code -le 1 ] && [ -s "$folder/record.txt" ] || exit 2
+exit $code
