--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 BODY_CAP = 4194304  # caps.body_bytes of the configuration
 SHORT = 5100  # the sheet's mean request
 # When each turn is sent, in seconds after the first one. Each one goes on from the turn before it.
-TIMES = (0, 16, 32, 48, 64)
+TIMES = (0, 16, 32, 48, 64, 80, 96)
 
 
 async def play(record, fleet, trouble):
